--- /dev/null
+++ b/crates/corianderworks/src/main.rs
@@ -0,0 +1,3 @@
+//! The corianderworks binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/corianderworks_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/crates/corianderworks_wire/src/lib.rs
@@ -0,0 +1,4 @@
+//! Messages between daemons and their encoding.
+
+pub mod codec;
+pub mod message;
