Declare the modules of every crate

Cause: parts built side by side would collide in the module lists. Change: each module exists with its purpose as its only content. Conclusion: each part now changes only its own files.

--- /dev/null
+++ b/crates/corianderworks/src/capacity.rs
@@ -0,0 +1,1 @@
+//! Measurement of the slopes behind the capacity page.
--- /dev/null
+++ b/crates/corianderworks/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command line.
--- /dev/null
+++ b/crates/corianderworks/src/commands.rs
@@ -0,0 +1,1 @@
+//! Commands for operators.
--- /dev/null
+++ b/crates/corianderworks/src/control.rs
@@ -0,0 +1,1 @@
+//! Control loop: membership, configuration and placement.
--- /dev/null
+++ b/crates/corianderworks/src/daemon.rs
@@ -0,0 +1,1 @@
+//! Assembly of a daemon.
--- /dev/null
+++ b/crates/corianderworks/src/demo.rs
@@ -0,0 +1,1 @@
+//! Demonstration of the promises under faults.
--- /dev/null
+++ b/crates/corianderworks/src/experiment.rs
@@ -0,0 +1,1 @@
+//! Scripted scenarios against the decision machines.
--- /dev/null
+++ b/crates/corianderworks/src/grants.rs
@@ -0,0 +1,1 @@
+//! Allowance of customers at an entry and at their limit homes.
--- /dev/null
+++ b/crates/corianderworks/src/kernel.rs
@@ -0,0 +1,1 @@
+//! Services of a daemon that find each other by name.
--- /dev/null
+++ b/crates/corianderworks/src/keys.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys at the daemon that issued them.
--- /dev/null
+++ b/crates/corianderworks/src/peer.rs
@@ -0,0 +1,1 @@
+//! Connections between daemons.
--- /dev/null
+++ b/crates/corianderworks/src/platform.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/corianderworks/src/proxy.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers.
--- /dev/null
+++ b/crates/corianderworks/src/relay.rs
@@ -0,0 +1,1 @@
+//! Relay of requests between daemons.
--- /dev/null
+++ b/crates/corianderworks/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/crates/corianderworks/src/upstream.rs
@@ -0,0 +1,1 @@
+//! Connections to backend servers.
--- /dev/null
+++ b/crates/corianderworks_decision/src/addresses.rs
@@ -0,0 +1,1 @@
+//! Choice of the daemons that a caller should use.
--- /dev/null
+++ b/crates/corianderworks_decision/src/baseline.rs
@@ -0,0 +1,1 @@
+//! Baseline for measurements: each daemon alone, round robin, consecutive-error ejection.
--- /dev/null
+++ b/crates/corianderworks_decision/src/claims.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of requests with an idempotency key.
--- /dev/null
+++ b/crates/corianderworks_decision/src/drain.rs
@@ -0,0 +1,1 @@
+//! Life cycle of a daemon from start to exit.
--- /dev/null
+++ b/crates/corianderworks_decision/src/health.rs
@@ -0,0 +1,1 @@
+//! Judgement of upstreams from the results of real requests.
--- a/crates/corianderworks_decision/src/lib.rs
+++ b/crates/corianderworks_decision/src/lib.rs
@@ -3,6 +3,19 @@
 //! Each machine takes the current time and an event, and returns what to do next.
 //! The daemon, the experiments and the tests drive the same machines.
 
+pub mod addresses;
+pub mod baseline;
+pub mod claims;
 pub mod clock;
+pub mod dispatcher;
+pub mod drain;
+pub mod health;
 pub mod ids;
+pub mod limits;
+pub mod membership;
+pub mod permits;
 pub mod placement;
+pub mod queue;
+pub mod retry;
+pub mod slots;
+pub mod versions;
--- /dev/null
+++ b/crates/corianderworks_decision/src/limits.rs
@@ -0,0 +1,1 @@
+//! Request allowance of customers, shared over the fleet.
--- /dev/null
+++ b/crates/corianderworks_decision/src/membership.rs
@@ -0,0 +1,1 @@
+//! Membership and failure detection.
--- /dev/null
+++ b/crates/corianderworks_decision/src/permits.rs
@@ -0,0 +1,1 @@
+//! Ejection permits, which keep the healthy capacity of a service above its floor.
--- /dev/null
+++ b/crates/corianderworks_decision/src/queue.rs
@@ -0,0 +1,1 @@
+//! Bounded queue of requests that wait for a slot.
--- /dev/null
+++ b/crates/corianderworks_decision/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget and hedging.
--- /dev/null
+++ b/crates/corianderworks_decision/src/slots.rs
@@ -0,0 +1,1 @@
+//! Slots of the upstreams that a daemon owns.
--- /dev/null
+++ b/crates/corianderworks_decision/src/versions.rs
@@ -0,0 +1,1 @@
+//! Newest known configuration version; never moves back.
--- /dev/null
+++ b/crates/corianderworks_lists/src/chunk.rs
@@ -0,0 +1,1 @@
+//! Content-addressed chunks of a list version.
--- /dev/null
+++ b/crates/corianderworks_lists/src/diff.rs
@@ -0,0 +1,1 @@
+//! Differences between two list versions.
--- /dev/null
+++ b/crates/corianderworks_lists/src/manifest.rs
@@ -0,0 +1,1 @@
+//! Manifest of a list version, the commit point of a change.
--- /dev/null
+++ b/crates/corianderworks_lists/src/parse.rs
@@ -0,0 +1,1 @@
+//! Strict parsing of JSON with comments.
--- /dev/null
+++ b/crates/corianderworks_load/src/caller.rs
@@ -0,0 +1,1 @@
+//! Callers that ask for addresses and send requests.
--- a/crates/corianderworks_load/src/lib.rs
+++ b/crates/corianderworks_load/src/lib.rs
@@ -1,1 +1,6 @@
-//! Not written yet.
+//! Load generator that checks each answer against its own request.
+
+pub mod caller;
+pub mod mix;
+pub mod plot;
+pub mod report;
--- /dev/null
+++ b/crates/corianderworks_load/src/mix.rs
@@ -0,0 +1,1 @@
+//! Seeded mix of requests.
--- /dev/null
+++ b/crates/corianderworks_load/src/plot.rs
@@ -0,0 +1,1 @@
+//! Plots of a run.
--- /dev/null
+++ b/crates/corianderworks_load/src/report.rs
@@ -0,0 +1,1 @@
+//! Figures of a run.
--- /dev/null
+++ b/crates/corianderworks_standin/src/backend.rs
@@ -0,0 +1,1 @@
+//! Stand-in for a backend server.
--- /dev/null
+++ b/crates/corianderworks_standin/src/fault.rs
@@ -0,0 +1,1 @@
+//! Scripted faults of the stand-ins.
