--- a/crates/corianderworks/src/peer.rs
+++ b/crates/corianderworks/src/peer.rs
@@ -1,1 +1,366 @@
-//! Connections between daemons.
+//! Connections between daemons: QUIC with mutual TLS.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderworks_decision::ids::DaemonKey;
+use corianderworks_wire::codec::{self, CodecError, PREFIX_BYTES};
+use parking_lot::Mutex;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{Connection, Endpoint, RecvStream, SendStream, TransportConfig, VarInt};
+use rustls::RootCertStore;
+use rustls::server::WebPkiClientVerifier;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use corianderworks_lists::settings::Tls;
+
+/// Name in every daemon's certificate; the fleet's authority vouches for membership.
+pub const CERTIFICATE_NAME: &str = "daemon.corianderworks.internal";
+/// Longest time to set up a connection to another daemon.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A connection without any packet for this long is closed. Idle connections are not kept
+/// alive: 430 of them would use up the control budget.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Relays that one connection carries at once.
+const STREAMS_MAX: u32 = 4096;
+
+/// Why daemons can't talk to each other.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The keys are unusable.
+    #[error("keys for peer connections are unusable: {0}")]
+    Keys(String),
+    /// The address is unknown.
+    #[error("no address is known for daemon {0:?}")]
+    NoAddress(DaemonKey),
+    /// The socket can't be opened.
+    #[error("the peer socket can't be opened: {0}")]
+    Socket(#[from] std::io::Error),
+    /// The connection can't be set up.
+    #[error("the connection to the peer failed: {0}")]
+    Connect(String),
+    /// The connection was lost.
+    #[error("the connection to the peer was lost: {0}")]
+    Lost(String),
+    /// The peer sent something malformed.
+    #[error("the peer sent a malformed message: {0}")]
+    Codec(#[from] CodecError),
+    /// The peer ended the stream too early.
+    #[error("the peer ended the stream early")]
+    Ended,
+    /// The peer did not answer in time.
+    #[error("the peer did not answer in time")]
+    Timeout,
+}
+
+/// Received datagram with the connection it came on.
+pub struct Received {
+    /// Connection, to be tied to the sender once the message names it.
+    pub connection: Connection,
+    /// Encoded message.
+    pub bytes: Bytes,
+}
+
+/// Counts of control traffic.
+#[derive(Debug, Default)]
+pub struct PeerCounts {
+    /// Payload of datagrams sent, in bytes.
+    pub datagram_bytes: AtomicU64,
+    /// Connections set up.
+    pub connects: AtomicU64,
+}
+
+#[derive(Default)]
+struct Slot {
+    address: Option<SocketAddr>,
+    outgoing: Option<Connection>,
+    incoming: Option<Connection>,
+    connecting: Arc<tokio::sync::Mutex<()>>,
+}
+
+/// Connections to all other daemons.
+pub struct Peers {
+    endpoint: Endpoint,
+    slots: Mutex<HashMap<DaemonKey, Slot>>,
+    counts: PeerCounts,
+}
+
+impl Peers {
+    /// Opens the socket for other daemons.
+    pub fn bind(address: SocketAddr, tls: &Tls) -> Result<Arc<Self>, PeerError> {
+        let keys = Keys::parse(tls)?;
+        let mut endpoint = Endpoint::server(keys.server()?, address)?;
+        endpoint.set_default_client_config(keys.client()?);
+        Ok(Arc::new(Self { endpoint, slots: Mutex::default(), counts: PeerCounts::default() }))
+    }
+
+    /// Returns the address that other daemons use.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Returns the socket, for accepting connections.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Returns counts of control traffic.
+    pub fn counts(&self) -> &PeerCounts {
+        &self.counts
+    }
+
+    /// Sets the address of a daemon; a changed address drops the old connection.
+    pub fn set_address(&self, daemon: DaemonKey, address: SocketAddr) {
+        let mut slots = self.slots.lock();
+        let slot = slots.entry(daemon).or_default();
+        if slot.address != Some(address) {
+            slot.address = Some(address);
+            slot.outgoing = None;
+        }
+    }
+
+    /// Forgets a daemon that is dead.
+    pub fn remove(&self, daemon: DaemonKey) {
+        self.slots.lock().remove(&daemon);
+    }
+
+    /// Ties an accepted connection to the daemon that sent on it.
+    pub fn set_incoming(&self, daemon: DaemonKey, connection: &Connection) {
+        let mut slots = self.slots.lock();
+        slots.entry(daemon).or_default().incoming = Some(connection.clone());
+    }
+
+    /// Returns a live connection, which is set up when there is none.
+    pub async fn connection(&self, daemon: DaemonKey) -> Result<Connection, PeerError> {
+        if let Some(live) = self.live_outgoing(daemon) {
+            return Ok(live);
+        }
+        let (address, connecting) = {
+            let mut slots = self.slots.lock();
+            let slot = slots.entry(daemon).or_default();
+            (slot.address.ok_or(PeerError::NoAddress(daemon))?, slot.connecting.clone())
+        };
+        let _one_at_a_time = connecting.lock().await;
+        if let Some(live) = self.live_outgoing(daemon) {
+            return Ok(live);
+        }
+        let connection = self.connect(address).await?;
+        let mut slots = self.slots.lock();
+        slots.entry(daemon).or_default().outgoing = Some(connection.clone());
+        Ok(connection)
+    }
+
+    /// Sets up a connection to an address whose daemon is not known yet.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+        self.counts.connects.fetch_add(1, Ordering::Relaxed);
+        let connecting = self
+            .endpoint
+            .connect(address, CERTIFICATE_NAME)
+            .map_err(|e| PeerError::Connect(e.to_string()))?;
+        tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| PeerError::Timeout)?
+            .map_err(|e| PeerError::Connect(e.to_string()))
+    }
+
+    /// Opens a stream to a daemon.
+    pub async fn open(&self, daemon: DaemonKey) -> Result<Channel, PeerError> {
+        let connection = self.connection(daemon).await?;
+        let (send, recv) =
+            connection.open_bi().await.map_err(|e| PeerError::Lost(e.to_string()))?;
+        Ok(Channel { send, recv })
+    }
+
+    /// Drops a connection on which nothing comes back, so that the next use sets up a new one.
+    pub fn retire(&self, daemon: DaemonKey) {
+        if let Some(slot) = self.slots.lock().get_mut(&daemon) {
+            if let Some(connection) = slot.outgoing.take() {
+                connection.close(VarInt::from_u32(0), b"silent");
+            }
+            slot.incoming = None;
+        }
+    }
+
+    /// Sends a datagram on any live connection, or on a new one.
+    pub async fn send_datagram(&self, daemon: DaemonKey, bytes: Bytes) -> Result<(), PeerError> {
+        let connection = match self.live_any(daemon) {
+            Some(live) => live,
+            None => self.connection(daemon).await?,
+        };
+        self.counts.datagram_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        connection.send_datagram(bytes).map_err(|e| PeerError::Lost(e.to_string()))
+    }
+
+    /// Sends an ask on a stream of its own and waits for the answer.
+    pub async fn ask<Q, A>(
+        &self,
+        daemon: DaemonKey,
+        ask: &Q,
+        within: Duration,
+    ) -> Result<A, PeerError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let exchange = async {
+            let mut channel = self.open(daemon).await?;
+            channel.send(ask).await?;
+            channel.recv().await
+        };
+        let answer = tokio::time::timeout(within, exchange).await;
+        answer.unwrap_or_else(|_| {
+            self.retire(daemon);
+            Err(PeerError::Timeout)
+        })
+    }
+
+    /// Closes all connections.
+    pub async fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"stopped");
+        self.endpoint.wait_idle().await;
+    }
+
+    fn live_outgoing(&self, daemon: DaemonKey) -> Option<Connection> {
+        let slots = self.slots.lock();
+        slots.get(&daemon)?.outgoing.clone().filter(is_open)
+    }
+
+    fn live_any(&self, daemon: DaemonKey) -> Option<Connection> {
+        let slots = self.slots.lock();
+        let slot = slots.get(&daemon)?;
+        [&slot.outgoing, &slot.incoming].into_iter().flatten().find(|c| is_open(c)).cloned()
+    }
+}
+
+fn is_open(connection: &Connection) -> bool {
+    connection.close_reason().is_none()
+}
+
+/// Stream of length-prefixed messages in both directions.
+pub struct Channel {
+    /// Sending half.
+    pub send: SendStream,
+    /// Receiving half.
+    pub recv: RecvStream,
+}
+
+impl Channel {
+    /// Sends one message.
+    pub async fn send<M>(&mut self, message: &M) -> Result<(), PeerError>
+    where
+        M: Serialize,
+    {
+        send_message(&mut self.send, message).await
+    }
+
+    /// Receives one message.
+    pub async fn recv<M>(&mut self) -> Result<M, PeerError>
+    where
+        M: DeserializeOwned,
+    {
+        recv_message(&mut self.recv).await
+    }
+}
+
+/// Sends one message on a stream.
+pub async fn send_message<M>(send: &mut SendStream, message: &M) -> Result<(), PeerError>
+where
+    M: Serialize,
+{
+    let bytes = codec::encode_prefixed(message)?;
+    send.write_chunk(bytes).await.map_err(|e| PeerError::Lost(e.to_string()))
+}
+
+/// Receives one message from a stream.
+pub async fn recv_message<M>(recv: &mut RecvStream) -> Result<M, PeerError>
+where
+    M: DeserializeOwned,
+{
+    let mut prefix = [0; PREFIX_BYTES];
+    recv.read_exact(&mut prefix).await.map_err(read_error)?;
+    let mut content = vec![0; codec::decode_prefix(prefix)?];
+    recv.read_exact(&mut content).await.map_err(read_error)?;
+    Ok(codec::decode(&content)?)
+}
+
+fn read_error(error: quinn::ReadExactError) -> PeerError {
+    match error {
+        quinn::ReadExactError::FinishedEarly(_) => PeerError::Ended,
+        quinn::ReadExactError::ReadError(e) => PeerError::Lost(e.to_string()),
+    }
+}
+
+struct Keys {
+    authority: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Keys {
+    fn parse(tls: &Tls) -> Result<Self, PeerError> {
+        let mut authority = RootCertStore::empty();
+        for certificate in CertificateDer::pem_slice_iter(tls.authority_pem.as_bytes()) {
+            authority.add(certificate.map_err(unusable)?).map_err(unusable)?;
+        }
+        let chain = CertificateDer::pem_slice_iter(tls.certificate_pem.as_bytes())
+            .collect::<Result<_, _>>()
+            .map_err(unusable)?;
+        let key = PrivateKeyDer::from_pem_slice(tls.key_pem.as_bytes()).map_err(unusable)?;
+        Ok(Self { authority: Arc::new(authority), chain, key })
+    }
+
+    fn server(&self) -> Result<quinn::ServerConfig, PeerError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier = WebPkiClientVerifier::builder_with_provider(
+            self.authority.clone(),
+            provider.clone(),
+        )
+        .build()
+        .map_err(unusable)?;
+        let config = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(unusable)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(unusable)?;
+        let quic = QuicServerConfig::try_from(config).map_err(unusable)?;
+        let mut server = quinn::ServerConfig::with_crypto(Arc::new(quic));
+        server.transport_config(Arc::new(transport()));
+        Ok(server)
+    }
+
+    fn client(&self) -> Result<quinn::ClientConfig, PeerError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(unusable)?
+            .with_root_certificates(self.authority.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(unusable)?;
+        let quic = QuicClientConfig::try_from(config).map_err(unusable)?;
+        let mut client = quinn::ClientConfig::new(Arc::new(quic));
+        client.transport_config(Arc::new(transport()));
+        Ok(client)
+    }
+}
+
+fn unusable(error: impl std::fmt::Display) -> PeerError {
+    PeerError::Keys(error.to_string())
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(STREAMS_MAX));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport.max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
+    transport.datagram_receive_buffer_size(Some(256 * 1024));
+    transport
+}
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -1,1 +1,328 @@
-//! HTTP towards callers.
+//! HTTP towards callers: admission, choice of a home, relay.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use corianderworks_decision::clock::Clock;
+use corianderworks_decision::ids::{DaemonKey, DaemonRun, ServiceKey};
+use corianderworks_lists::settings::{Balance, Limits};
+use corianderworks_wire::message::RelayPurpose;
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Request, Response};
+use http_body::Body as HttpBody;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use crate::body::{self, Body, Guarded};
+use crate::headers;
+use crate::home::Homes;
+use crate::job::{Job, JobHead, Reply};
+use crate::peer::Peers;
+use crate::refusal::{Ran, Reason, Refusal};
+use crate::relay::{self, RelayError};
+use crate::view::{RouteMatch, View};
+
+/// Homes that one request may be sent to. More would multiply the load of an overloaded service.
+const HOMES_PER_REQUEST: usize = 3;
+/// A load report older than this says nothing.
+const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+
+/// What a home last said of its load.
+#[derive(Debug, Clone, Copy)]
+struct HomeLoad {
+    free_slots: u16,
+    queued: u16,
+    at: Duration,
+}
+
+/// Entry of callers' requests.
+pub struct Entry<C>
+where
+    C: Clock,
+{
+    /// This daemon in its present run.
+    pub me: DaemonRun,
+    /// Source of time.
+    pub clock: Arc<C>,
+    /// What the daemon knows of the fleet.
+    pub view: Arc<ArcSwap<View>>,
+    /// Connections to other daemons.
+    pub peers: Arc<Peers>,
+    /// Services that this daemon is a home of.
+    pub homes: Arc<Homes<C>>,
+    limits: Limits,
+    balance: Balance,
+    via: HeaderValue,
+    next_request: AtomicU64,
+    in_flight: AtomicUsize,
+    loads: Mutex<HashMap<(DaemonKey, ServiceKey), HomeLoad>>,
+}
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlight<C>(Arc<Entry<C>>)
+where
+    C: Clock;
+
+impl<C> Drop for InFlight<C>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What an entry does next with a job.
+enum Next {
+    /// The job is settled.
+    Reply(Reply),
+    /// The job goes to the next home.
+    Again(Job),
+}
+
+impl<C> Entry<C>
+where
+    C: Clock,
+{
+    /// Creates an entry.
+    pub fn new(
+        me: DaemonRun,
+        clock: Arc<C>,
+        view: Arc<ArcSwap<View>>,
+        peers: Arc<Peers>,
+        homes: Arc<Homes<C>>,
+        limits: Limits,
+        balance: Balance,
+        via: HeaderValue,
+    ) -> Self {
+        Self {
+            me,
+            clock,
+            view,
+            peers,
+            homes,
+            limits,
+            balance,
+            via,
+            next_request: AtomicU64::new(1),
+            in_flight: AtomicUsize::new(0),
+            loads: Mutex::default(),
+        }
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as in flight.
+    pub fn start_request(self: &Arc<Self>) -> InFlight<C> {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(self.clone())
+    }
+
+    /// Serves a caller's request.
+    pub async fn serve(
+        self: &Arc<Self>,
+        request: Request<Incoming>,
+        caller: SocketAddr,
+    ) -> Response<Body> {
+        let guard = self.start_request();
+        let reply = match self.admit(request, caller) {
+            Ok(job) => self.run(job).await,
+            Err(refusal) => Err(refusal),
+        };
+        let response = reply.unwrap_or_else(Refusal::response);
+        response.map(|inner| body::Watched::new(inner, move |_| drop(guard)).boxed_unsync())
+    }
+
+    /// Checks a request against the lists and turns it into a job.
+    fn admit(&self, request: Request<Incoming>, caller: SocketAddr) -> Result<Job, Refusal> {
+        let view = self.view.load();
+        if view.table.version == 0 {
+            return Err(Refusal::not_run(Reason::NotReady));
+        }
+        let (mut parts, body) = request.into_parts();
+        let head = self.check(&view, &mut parts, caller).map_err(Refusal::not_run)?;
+        let pause = Duration::from_millis(u64::from(self.limits.body_pause_ms));
+        let body = Guarded::new(body::incoming(body), self.limits.body_bytes, pause);
+        Ok(Job { head, body: body.boxed_unsync() })
+    }
+
+    fn check(
+        &self,
+        view: &View,
+        parts: &mut http::request::Parts,
+        caller: SocketAddr,
+    ) -> Result<JobHead, Reason> {
+        headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
+        let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
+            .map_err(|_| Reason::BadRequest("cw-customer"))?
+            .ok_or(Reason::UnknownCustomer)?;
+        let plan = view.table.plan(customer).ok_or(Reason::UnknownCustomer)?;
+        let route = match view.table.route(&parts.method, parts.uri.path()) {
+            RouteMatch::Found(route) => route,
+            RouteMatch::OtherMethod => return Err(Reason::Method),
+            RouteMatch::NoRoute => return Err(Reason::NoRoute),
+        };
+        if !plan.allows(route) {
+            return Err(Reason::NotAllowed);
+        }
+        let key = headers::single(&parts.headers, &headers::IDEMPOTENCY_KEY, "idempotency-key")
+            .map_err(|_| Reason::BadRequest("idempotency-key"))?
+            .map(str::to_owned);
+        let customer: Arc<str> = customer.into();
+        let timeout = self.timeout(parts, route.timeout)?;
+        headers::prepare_request(&mut parts.headers, &self.via, &caller.ip().to_string());
+        let slash = || PathAndQuery::from_static("/");
+        Ok(JobHead {
+            service: route.service.clone(),
+            customer,
+            route: route.name.clone(),
+            method: parts.method.clone(),
+            target: parts.uri.path_and_query().cloned().unwrap_or_else(slash),
+            headers: std::mem::take(&mut parts.headers),
+            idempotent: route.idempotent,
+            priority: plan.priority,
+            deadline: self.clock.now() + timeout,
+            key,
+        })
+    }
+
+    fn timeout(&self, parts: &http::request::Parts, route: Duration) -> Result<Duration, Reason> {
+        let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
+            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+        let Some(text) = text else { return Ok(route) };
+        let left_ms: u64 = text.parse().map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+        Ok(route.min(Duration::from_millis(left_ms)))
+    }
+
+    /// Sends a job to a home, and to another one when it was provably not run.
+    pub async fn run(self: &Arc<Self>, mut job: Job) -> Reply {
+        let service = job.head.service_key();
+        let homes = self.rank_homes(service);
+        if homes.is_empty() {
+            return Err(Refusal::not_run(Reason::Unavailable));
+        }
+        let mut last = Refusal::not_run(Reason::Unavailable);
+        for home in homes.into_iter().take(HOMES_PER_REQUEST) {
+            let replay = Replay::of(&job);
+            let next = if home == self.me.daemon {
+                settle(self.homes.run(job).await, replay)
+            } else {
+                self.relay_to(home, job, replay).await
+            };
+            match next {
+                Next::Reply(Err(refusal)) => return Err(refusal),
+                Next::Reply(reply) => return reply,
+                Next::Again(again) => {
+                    last = Refusal::not_run(Reason::Overload);
+                    job = again;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn relay_to(self: &Arc<Self>, home: DaemonKey, job: Job, replay: Replay) -> Next {
+        let request_id = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let service = job.head.service_key();
+        let purpose = RelayPurpose::Dispatch;
+        let now = self.clock.now();
+        let sent = relay::relay(&self.peers, home, job, request_id, self.me, purpose, now).await;
+        match sent {
+            Ok(relayed) => {
+                self.note_load(home, service, relayed.free_slots, relayed.queued);
+                settle(relayed.reply, replay)
+            }
+            Err(RelayError::NotSent(job, error)) => {
+                tracing::warn!("relay: {error}; trying another home");
+                self.note_load(home, service, 0, u16::MAX);
+                Next::Again(job)
+            }
+            Err(RelayError::Sent(error)) => {
+                tracing::warn!("relay: {error}; the request may have run");
+                self.note_load(home, service, 0, u16::MAX);
+                match replay {
+                    Replay::Idempotent(job) => Next::Again(job),
+                    _ => Next::Reply(Err(Refusal::unknown(Reason::Unavailable))),
+                }
+            }
+        }
+    }
+
+    /// Records what a home said of its load.
+    pub fn note_load(&self, home: DaemonKey, service: ServiceKey, free_slots: u16, queued: u16) {
+        let load = HomeLoad { free_slots, queued, at: self.clock.now() };
+        self.loads.lock().insert((home, service), load);
+    }
+
+    /// Orders the homes of a service: itself with a free slot, then by reported load.
+    fn rank_homes(&self, service: ServiceKey) -> Vec<DaemonKey> {
+        if self.balance == Balance::Alone {
+            return vec![self.me.daemon];
+        }
+        let view = self.view.load();
+        let Some(place) = view.places.get(&service) else { return Vec::new() };
+        let own = place.is_home(self.me.daemon).then(|| self.homes.load(service)).flatten();
+        let now = self.clock.now();
+        let turn = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let loads = self.loads.lock();
+        let mut ranked: Vec<(bool, i64, u64, DaemonKey)> = place
+            .homes
+            .iter()
+            .map(|&home| {
+                let load = if home == self.me.daemon {
+                    own
+                } else {
+                    let known = loads.get(&(home, service));
+                    known
+                        .filter(|load| now.saturating_sub(load.at) < LOAD_REPORT_MAX_AGE)
+                        .map(|load| (load.free_slots, load.queued))
+                };
+                let spare = load.map_or(1, |(free, queued)| i64::from(free) - i64::from(queued));
+                let relayed = home != self.me.daemon;
+                let tie = corianderworks_decision::placement::weight(home, turn);
+                (spare <= 0, if relayed { -spare } else { i64::MIN }, tie, home)
+            })
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, _, _, home)| home).collect()
+    }
+}
+
+/// Whether and how a job can be sent again.
+enum Replay {
+    /// The request has no body, so it can be built again from its head.
+    Idempotent(Job),
+    /// As above, but only when it was provably not run.
+    IfNotRun(Job),
+    /// The body is consumed.
+    Never,
+}
+
+impl Replay {
+    fn of(job: &Job) -> Self {
+        if !job.body.is_end_stream() {
+            return Self::Never;
+        }
+        let copy = Job { head: job.head.clone(), body: body::empty() };
+        if job.head.idempotent { Self::Idempotent(copy) } else { Self::IfNotRun(copy) }
+    }
+}
+
+fn settle(reply: Reply, replay: Replay) -> Next {
+    let elsewhere = matches!(
+        &reply,
+        Err(Refusal { ran: Ran::No, reason: Reason::Overload | Reason::Unavailable })
+    );
+    match replay {
+        Replay::Idempotent(job) | Replay::IfNotRun(job) if elsewhere => Next::Again(job),
+        _ => Next::Reply(reply),
+    }
+}
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -1,1 +1,189 @@
 //! Connections to backend servers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderworks_decision::clock::Clock;
+use corianderworks_decision::ids::UpstreamKey;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+use crate::body::Body;
+
+/// Longest time to set up a connection; a connection normally takes 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// An idle connection is closed after this long, before a middlebox forgets it.
+const IDLE_MAX: Duration = Duration::from_secs(20);
+/// Idle connections kept for one upstream; a share of the slots is at most a few.
+const IDLE_PER_UPSTREAM: usize = 8;
+
+/// How an exchange with a backend server failed.
+#[derive(Debug, Error)]
+pub enum UpstreamError {
+    /// No connection could be set up, so nothing was sent.
+    #[error("the backend server can't be reached: {0}")]
+    Connect(String),
+    /// The connection broke before the request was sent.
+    #[error("the request was not sent")]
+    NotSent,
+    /// The exchange broke off after the request may have been sent.
+    #[error("the backend server broke off: {0}")]
+    Broken(String),
+}
+
+/// Failed exchange, with the request when it was provably not sent.
+pub struct Failed {
+    /// What went wrong.
+    pub error: UpstreamError,
+    /// The request, if none of it was handed over.
+    pub unsent: Option<Request<Body>>,
+}
+
+struct Idle {
+    sender: SendRequest<Body>,
+    born: Duration,
+    since: Duration,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: Vec<Idle>,
+    /// Connections set up before this time are not used again.
+    retired_before: Duration,
+}
+
+/// Pools of connections, one per upstream.
+pub struct Upstreams<C>
+where
+    C: Clock,
+{
+    clock: Arc<C>,
+    pools: Mutex<HashMap<UpstreamKey, Pool>>,
+}
+
+/// Connection in use; it goes back to its pool when released after a whole response.
+pub struct Checkout<C>
+where
+    C: Clock,
+{
+    upstreams: Arc<Upstreams<C>>,
+    upstream: UpstreamKey,
+    sender: SendRequest<Body>,
+    /// When the connection was set up.
+    pub born: Duration,
+}
+
+impl<C> Upstreams<C>
+where
+    C: Clock,
+{
+    /// Creates empty pools.
+    pub fn new(clock: Arc<C>) -> Arc<Self> {
+        Arc::new(Self { clock, pools: Mutex::default() })
+    }
+
+    /// Takes an idle connection or sets up a new one.
+    pub async fn checkout(
+        self: &Arc<Self>,
+        upstream: UpstreamKey,
+        address: SocketAddr,
+    ) -> Result<Checkout<C>, UpstreamError> {
+        while let Some(idle) = self.pop(upstream) {
+            let mut checkout = self.wrap(upstream, idle.sender, idle.born);
+            if checkout.sender.ready().await.is_ok() {
+                return Ok(checkout);
+            }
+        }
+        let born = self.clock.now();
+        let sender = connect(address).await?;
+        Ok(self.wrap(upstream, sender, born))
+    }
+
+    /// Retires the connections of an upstream that were set up before a time.
+    pub fn retire(&self, upstream: UpstreamKey, before: Duration) {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(upstream).or_default();
+        pool.retired_before = pool.retired_before.max(before);
+        pool.idle.retain(|idle| idle.born >= before);
+    }
+
+    /// Closes the idle connections of upstreams that this daemon no longer owns.
+    pub fn keep_only<F>(&self, keep: F)
+    where
+        F: Fn(UpstreamKey) -> bool,
+    {
+        self.pools.lock().retain(|upstream, _| keep(*upstream));
+    }
+
+    fn pop(&self, upstream: UpstreamKey) -> Option<Idle> {
+        let now = self.clock.now();
+        let mut pools = self.pools.lock();
+        let pool = pools.get_mut(&upstream)?;
+        pool.idle.retain(|idle| now.saturating_sub(idle.since) < IDLE_MAX);
+        pool.idle.pop()
+    }
+
+    fn push(&self, upstream: UpstreamKey, sender: SendRequest<Body>, born: Duration) {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(upstream).or_default();
+        if born >= pool.retired_before && pool.idle.len() < IDLE_PER_UPSTREAM {
+            pool.idle.push(Idle { sender, born, since: self.clock.now() });
+        }
+    }
+
+    fn wrap(
+        self: &Arc<Self>,
+        upstream: UpstreamKey,
+        sender: SendRequest<Body>,
+        born: Duration,
+    ) -> Checkout<C> {
+        Checkout { upstreams: self.clone(), upstream, sender, born }
+    }
+}
+
+impl<C> Checkout<C>
+where
+    C: Clock,
+{
+    /// Sends a request and waits for the head of the response.
+    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, Failed> {
+        self.sender.try_send_request(request).await.map_err(|mut failed| {
+            let unsent = failed.take_message();
+            let error = match unsent {
+                Some(_) => UpstreamError::NotSent,
+                None => UpstreamError::Broken(failed.into_error().to_string()),
+            };
+            Failed { error, unsent }
+        })
+    }
+
+    /// Returns the connection to its pool after a whole response.
+    pub fn release(self) {
+        if !self.sender.is_closed() {
+            self.upstreams.push(self.upstream, self.sender, self.born);
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, UpstreamError> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting
+        .await
+        .map_err(|_| UpstreamError::Connect("timed out".into()))?
+        .map_err(|e| UpstreamError::Connect(e.to_string()))?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| UpstreamError::Connect(e.to_string()))?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- a/crates/corianderworks_wire/src/message.rs
+++ b/crates/corianderworks_wire/src/message.rs
@@ -100,6 +100,10 @@
     pub status: u16,
     /// Header fields.
     pub headers: Vec<(String, Bytes)>,
+    /// Free slots of the home for the service, so that the entry needs no other report.
+    pub free_slots: u16,
+    /// Requests that wait at the home for the service.
+    pub queued: u16,
 }
 
 /// Request for allowance.
