--- a/crates/corianderworks_decision/src/lib.rs
+++ b/crates/corianderworks_decision/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod baseline;
 pub mod claims;
 pub mod clock;
+pub mod dispatch_types;
 pub mod dispatcher;
 pub mod drain;
 pub mod health;
