Declare the types of membership, versions, addresses and drain

Cause: the daemon is written against these types before the machines exist. Change: messages, events, actions and signatures of membership, versions and addresses; the datagrams between daemons; the whole life cycle of a daemon. Conclusion: callers can compile; membership, versions and addresses do nothing yet.

--- a/crates/corianderworks_wire/src/message.rs
+++ b/crates/corianderworks_wire/src/message.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use corianderworks_decision::ids::{CustomerKey, DaemonRun, ServiceKey, UpstreamKey};
+use corianderworks_decision::membership::{Ack, Gossip, MemberMessage, Ping, PingReq};
 use serde::{Deserialize, Serialize};
 
 /// First message on a bidirectional stream: what the sender wants.
@@ -145,3 +146,92 @@
     /// Upstream.
     pub upstream: UpstreamKey,
 }
+
+/// Largest encoded datagram in bytes, which fits the smallest path MTU of QUIC.
+pub const DATAGRAM_MAX_BYTES: usize = 1_200;
+
+/// Message in one QUIC datagram, which may be lost or reordered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Probe of a member.
+    Ping(Ping),
+    /// Answer to a probe.
+    Ack(Ack),
+    /// Request for an indirect probe.
+    PingReq(PingReq),
+    /// News of members and synchronisation of member tables.
+    Gossip(Gossip),
+    /// Load of a home.
+    LoadReport(LoadReport),
+    /// Verdict of an owner on an upstream.
+    Evidence(Evidence),
+    /// Ejection under a permit.
+    EjectAnnounce(EjectAnnounce),
+}
+
+impl Datagram {
+    /// Returns the message of the failure detector, if it is one.
+    pub fn into_member(self) -> Option<MemberMessage> {
+        match self {
+            Self::Ping(m) => Some(MemberMessage::Ping(m)),
+            Self::Ack(m) => Some(MemberMessage::Ack(m)),
+            Self::PingReq(m) => Some(MemberMessage::PingReq(m)),
+            Self::Gossip(m) => Some(MemberMessage::Gossip(m)),
+            Self::LoadReport(_) | Self::Evidence(_) | Self::EjectAnnounce(_) => None,
+        }
+    }
+}
+
+impl From<MemberMessage> for Datagram {
+    fn from(message: MemberMessage) -> Self {
+        match message {
+            MemberMessage::Ping(m) => Self::Ping(m),
+            MemberMessage::Ack(m) => Self::Ack(m),
+            MemberMessage::PingReq(m) => Self::PingReq(m),
+            MemberMessage::Gossip(m) => Self::Gossip(m),
+        }
+    }
+}
+
+/// Load of a home for one service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Service.
+    pub service: ServiceKey,
+    /// Free slots of the sender.
+    pub free_slots: u16,
+    /// Requests queued at the sender.
+    pub queued: u16,
+}
+
+/// Verdict of an owner on an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Service.
+    pub service: ServiceKey,
+    /// Upstream.
+    pub upstream: UpstreamKey,
+    /// Requests in the sender's window.
+    pub window_requests: u16,
+    /// Failures in the sender's window.
+    pub window_failures: u16,
+    /// Whether the sender considers the upstream unhealthy.
+    pub suspect: bool,
+    /// Whether the sender had a recent success with it.
+    pub recent_success: bool,
+}
+
+/// Ejection under a permit, renewed by its holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EjectAnnounce {
+    /// Service.
+    pub service: ServiceKey,
+    /// Number of the permit.
+    pub permit: u16,
+    /// Number of the announcement; a higher one replaces a lower one.
+    pub sequence: u64,
+    /// Ejected upstream, `None` when the permit is not in use.
+    pub upstream: Option<UpstreamKey>,
+    /// Holder of the permit.
+    pub holder: DaemonRun,
+}
