--- a/crates/corianderworks_lists/src/manifest.rs
+++ b/crates/corianderworks_lists/src/manifest.rs
@@ -1,1 +1,234 @@
 //! Manifest of a list version, the commit point of a change.
+
+use std::collections::BTreeMap;
+
+use jiff::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::chunk::{self, ChunkHash, ChunkRef, Contents};
+use crate::lists::{Customers, Plans};
+
+/// Path of the manifest in the platform.
+pub const MANIFEST_PATH: &str = "lists/manifest";
+
+/// Path prefix of replaced manifests in the platform.
+pub const HISTORY_PREFIX: &str = "lists/history/";
+
+/// Audit records that a manifest carries. A writer whose response was lost
+/// finds its change among them unless more changes than this came in between.
+pub const RECENT_RECORDS: usize = 16;
+
+/// Versions for which a dropped chunk is kept, for readers of an older manifest.
+pub const KEPT_VERSIONS: u64 = 8;
+
+/// Path of the manifest of an older version.
+pub fn history_path(version: u64) -> String {
+    format!("{HISTORY_PREFIX}{version:010}")
+}
+
+/// One version of both lists.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Snapshot {
+    /// Version number.
+    pub version: u64,
+    /// Plans that customers hold.
+    pub customers: Customers,
+    /// What each plan may use.
+    pub plans: Plans,
+}
+
+/// Record of one change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// Version that the change was based on.
+    pub from_version: u64,
+    /// Version that the change produced.
+    pub to_version: u64,
+    /// Unique id of the change, chosen by the writer.
+    pub change_id: String,
+    /// Operator who made the change.
+    pub who: String,
+    /// When the writer prepared the change.
+    pub when: Timestamp,
+    /// Reason given by the operator.
+    pub reason: String,
+    /// Differences, one line each; only the first line in older records.
+    pub summary: Vec<String>,
+}
+
+/// A chunk that a version dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, ChunkHash)", into = "(u64, ChunkHash)")]
+pub struct Dropped {
+    /// Version that no longer names the chunk.
+    pub in_version: u64,
+    /// Hash of the chunk.
+    pub hash: ChunkHash,
+}
+
+impl From<(u64, ChunkHash)> for Dropped {
+    fn from((in_version, hash): (u64, ChunkHash)) -> Self {
+        Self { in_version, hash }
+    }
+}
+
+impl From<Dropped> for (u64, ChunkHash) {
+    fn from(dropped: Dropped) -> Self {
+        (dropped.in_version, dropped.hash)
+    }
+}
+
+/// A list version: its chunks and the changes that led to it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// Version number of the lists; independent of the object's version in the
+    /// platform.
+    pub version: u64,
+    /// Chunks of this version.
+    pub contents: Contents,
+    /// Latest changes, newest first; the first produced this version.
+    pub recent: Vec<AuditRecord>,
+    /// Chunks dropped lately, kept for readers of an older manifest.
+    #[serde(default)]
+    pub dropped: Vec<Dropped>,
+}
+
+/// Failure to read a manifest or to assemble a version.
+#[derive(Debug, thiserror::Error)]
+pub enum ManifestError {
+    /// The manifest is not valid JSON of the expected form.
+    #[error("manifest cannot be read: {0}")]
+    Manifest(serde_json::Error),
+    /// Chunks are missing.
+    #[error("{} chunks of version {version} are missing", hashes.len())]
+    Missing {
+        /// Version to assemble.
+        version: u64,
+        /// Hashes of the missing chunks.
+        hashes: Vec<ChunkHash>,
+    },
+    /// The bytes of a chunk do not match its hash.
+    #[error("chunk {0} is corrupt")]
+    Corrupt(ChunkHash),
+    /// A chunk is not valid JSON of the expected form.
+    #[error("chunk {hash} cannot be read: {error}")]
+    Chunk {
+        /// Hash of the chunk.
+        hash: ChunkHash,
+        /// Cause.
+        error: serde_json::Error,
+    },
+}
+
+impl Manifest {
+    /// Reads a manifest.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, ManifestError> {
+        serde_json::from_slice(bytes).map_err(ManifestError::Manifest)
+    }
+
+    /// Returns the stored form.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a manifest has string keys and no fallible types")
+    }
+
+    /// Returns the record of the change that produced this version.
+    pub fn change(&self) -> Option<&AuditRecord> {
+        self.recent.first()
+    }
+
+    /// Returns the record of a recent change by its id.
+    pub fn find_change(&self, change_id: &str) -> Option<&AuditRecord> {
+        self.recent.iter().find(|r| r.change_id == change_id)
+    }
+
+    /// Builds the manifest that follows `base`, which is `None` for the first version.
+    pub fn next(base: Option<&Manifest>, contents: Contents, record: AuditRecord) -> Self {
+        let version = record.to_version;
+        let mut recent = vec![record];
+        let mut dropped = Vec::new();
+        if let Some(base) = base {
+            recent.extend(base.recent.iter().take(RECENT_RECORDS - 1).cloned());
+            recent[1..].iter_mut().for_each(|r| r.summary.truncate(1));
+            dropped.extend(base.dropped.iter().copied());
+            dropped.extend(
+                base.contents
+                    .iter()
+                    .filter(|c| !contents.contains(&c.hash))
+                    .map(|c| Dropped {
+                        in_version: version,
+                        hash: c.hash,
+                    }),
+            );
+            dropped.retain(|d| d.in_version + KEPT_VERSIONS > version);
+        }
+        Self {
+            version,
+            contents,
+            recent,
+            dropped,
+        }
+    }
+
+    /// Returns whether a stored chunk may be deleted.
+    ///
+    /// A later version names only chunks of its predecessor and new chunks with
+    /// its own number in `since`. So a chunk that is old enough to be known to
+    /// this version and that it does not name is never named again.
+    pub fn is_garbage(&self, hash: &ChunkHash, since: u64) -> bool {
+        since <= self.version && !self.is_known(hash)
+    }
+
+    /// Returns whether this version names the chunk or dropped it lately.
+    pub fn is_known(&self, hash: &ChunkHash) -> bool {
+        self.contents.contains(hash) || self.dropped.iter().any(|d| d.hash == *hash)
+    }
+}
+
+/// Assembles a version from its manifest and chunks.
+pub fn assemble<F, B>(manifest: &Manifest, chunk: F) -> Result<Snapshot, ManifestError>
+where
+    F: Fn(&ChunkHash) -> Option<B>,
+    B: AsRef<[u8]>,
+{
+    let contents = &manifest.contents;
+    let hashes: Vec<ChunkHash> = contents
+        .iter()
+        .filter(|c| chunk(&c.hash).is_none())
+        .map(|c| c.hash)
+        .collect();
+    if !hashes.is_empty() {
+        return Err(ManifestError::Missing {
+            version: manifest.version,
+            hashes,
+        });
+    }
+    Ok(Snapshot {
+        version: manifest.version,
+        customers: Customers {
+            customers: entries(&contents.customers, &chunk)?,
+        },
+        plans: Plans {
+            services: entries(&contents.services, &chunk)?,
+            plans: entries(&contents.plans, &chunk)?,
+        },
+    })
+}
+
+fn entries<T, F, B>(chunks: &[ChunkRef], chunk: &F) -> Result<BTreeMap<String, T>, ManifestError>
+where
+    T: serde::de::DeserializeOwned,
+    F: Fn(&ChunkHash) -> Option<B>,
+    B: AsRef<[u8]>,
+{
+    let mut entries = BTreeMap::new();
+    for ChunkRef { hash, .. } in chunks {
+        let bytes = chunk(hash).ok_or(ManifestError::Corrupt(*hash))?;
+        if ChunkHash::of(bytes.as_ref()) != *hash {
+            return Err(ManifestError::Corrupt(*hash));
+        }
+        let bucket = chunk::read_bucket::<T>(bytes.as_ref())
+            .map_err(|error| ManifestError::Chunk { hash: *hash, error })?;
+        entries.extend(bucket.entries);
+    }
+    Ok(entries)
+}
--- /dev/null
+++ b/crates/corianderworks_lists/tests/chunks.rs
@@ -0,0 +1,119 @@
+//! Splitting lists into chunks and assembling them again.
+
+use std::collections::BTreeMap;
+
+use corianderworks_lists::chunk::{Chunk, ChunkHash, Contents, split};
+use corianderworks_lists::lists::{Customer, Customers, Plan, Plans, Route, Service};
+use corianderworks_lists::manifest::{AuditRecord, Manifest, ManifestError, assemble};
+use proptest::prelude::*;
+
+fn customers(names: &BTreeMap<String, String>) -> Customers {
+    let customer = |plan: &String| Customer { plan: plan.clone() };
+    Customers {
+        customers: names
+            .iter()
+            .map(|(name, plan)| (name.clone(), customer(plan)))
+            .collect(),
+    }
+}
+
+fn plans(names: &BTreeMap<String, String>) -> Plans {
+    let route = Route {
+        methods: vec!["GET".to_owned()],
+        path: "/a".to_owned(),
+        idempotent: true,
+        timeout_ms: 500,
+    };
+    let service = Service {
+        slots: 2,
+        floor_percent: 60,
+        routes: BTreeMap::from([("read".to_owned(), route)]),
+    };
+    let plan = Plan {
+        priority: 1,
+        rate_per_s: 5,
+        concurrency: 2,
+        uses: BTreeMap::new(),
+    };
+    Plans {
+        services: names
+            .keys()
+            .map(|name| (name.clone(), service.clone()))
+            .collect(),
+        plans: names
+            .values()
+            .map(|name| (name.clone(), plan.clone()))
+            .collect(),
+    }
+}
+
+fn record(from: u64) -> AuditRecord {
+    AuditRecord {
+        from_version: from,
+        to_version: from + 1,
+        change_id: format!("change-{from}"),
+        who: "ana".to_owned(),
+        when: jiff::Timestamp::UNIX_EPOCH,
+        reason: "test".to_owned(),
+        summary: Vec::new(),
+    }
+}
+
+fn store(chunks: Vec<Chunk>) -> BTreeMap<ChunkHash, Vec<u8>> {
+    chunks.into_iter().map(|c| (c.hash, c.bytes)).collect()
+}
+
+fn names() -> impl Strategy<Value = BTreeMap<String, String>> {
+    proptest::collection::btree_map("[a-zé\"\\\\ ]{1,12}", "[a-z]{1,3}", 1..60)
+}
+
+proptest! {
+    /// Guards against entries lost or changed on the way through the store.
+    #[test]
+    fn assemble_returns_what_was_split(names in names()) {
+        let (customers, plans) = (customers(&names), plans(&names));
+        let (contents, chunks) = split(&customers, &plans, 1, None);
+        let manifest = Manifest::next(None, contents, record(0));
+        let manifest = Manifest::from_bytes(&manifest.to_bytes()).unwrap();
+        let chunks = store(chunks);
+        let snapshot = assemble(&manifest, |hash| chunks.get(hash)).unwrap();
+        prop_assert_eq!(snapshot.version, 1);
+        prop_assert_eq!(snapshot.customers, customers);
+        prop_assert_eq!(snapshot.plans, plans);
+    }
+
+    /// Guards against a small change that ships more than its own bucket, and
+    /// against a returning content that reuses a chunk which may be deleted.
+    #[test]
+    fn one_changed_customer_changes_one_chunk(names in names(), pick in any::<prop::sample::Index>()) {
+        let before = customers(&names);
+        let plans = plans(&names);
+        let mut after = before.clone();
+        let name = names.keys().nth(pick.index(names.len())).unwrap();
+        after.customers.get_mut(name).unwrap().plan.push_str("-changed");
+        let (first, _) = split(&before, &plans, 1, None);
+        let (second, new) = split(&after, &plans, 2, Some(&first));
+        prop_assert_eq!(new.len(), 1);
+        let (third, new) = split(&before, &plans, 3, Some(&second));
+        prop_assert_eq!(new.len(), 1);
+        prop_assert!(!first.contains(&new[0].hash));
+        prop_assert_eq!(first.iter().filter(|c| !third.contains(&c.hash)).count(), 1);
+    }
+}
+
+/// Guards against a version assembled from missing or corrupt chunks.
+#[test]
+fn missing_and_corrupt_chunks_are_errors() {
+    let names = BTreeMap::from([("a".to_owned(), "gold".to_owned())]);
+    let (contents, chunks) = split(&customers(&names), &plans(&names), 1, None);
+    let manifest = Manifest::next(None, contents, record(0));
+    let mut chunks = store(chunks);
+    let hash = manifest.contents.customers[0].hash;
+    chunks.get_mut(&hash).unwrap().push(b' ');
+    let corrupt = assemble(&manifest, |h| chunks.get(h));
+    assert!(matches!(corrupt, Err(ManifestError::Corrupt(h)) if h == hash));
+    chunks.remove(&hash);
+    let missing = assemble(&manifest, |h| chunks.get(h));
+    assert!(matches!(missing, Err(ManifestError::Missing { hashes, .. }) if hashes == [hash]));
+    assert_eq!(Contents::default().iter().count(), 0);
+}
