--- /dev/null
+++ b/crates/corianderworks_decision/src/dispatch_judge.rs
@@ -0,0 +1,384 @@
+//! Evidence from requests, verdicts, and the use of permits.
+
+use std::time::Duration;
+
+use crate::dispatch_types::*;
+use crate::dispatcher::{Dispatcher, Running, Trial, Upstream};
+use crate::ejection::Use;
+use crate::health::{self, ELEVATED, Siblings, UpstreamHealth, Verdict};
+use crate::ids::{DaemonRun, UpstreamKey};
+
+/// Overdue level at which a request is taken for stuck on a silent connection.
+const RETIRE_LEVEL: u8 = 2;
+/// Interval at which an ejection is asked for again, because messages get lost.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+/// Age up to which a success speaks against another home's request to eject.
+const RECENT_SUCCESS: Duration = Duration::from_millis(250);
+/// Part of a failure's weight that a refusal by the server counts: it may just be busy.
+const NOT_RUN_PART: f64 = 0.5;
+
+impl Dispatcher {
+    /// Records how a request ended.
+    pub(crate) fn record(&mut self, now: Duration, running: Running, outcome: Outcome) {
+        let Some(entry) = self.upstreams.get_mut(&running.upstream) else {
+            return;
+        };
+        let slow_from = entry.health.slow_from(self.typical.p50);
+        let failure = self.failures.failure_weight();
+        let mut good = false;
+        match outcome {
+            Outcome::Success { latency } | Outcome::Drained { latency } => {
+                let level = UpstreamHealth::level(latency, slow_from);
+                good = level == 0;
+                self.failures.record(false);
+                self.slow.record(!good);
+                self.latencies.record(now, latency);
+                if good {
+                    let weight = self.failures.success_weight();
+                    entry.health.success(now, latency, weight);
+                } else if entry.view.state == UpstreamState::Live {
+                    let levels = f64::from(level.saturating_sub(running.full));
+                    let weight = self.slow.failure_weight() * levels;
+                    let first = running.level == 0;
+                    entry.health.failure(now, Evidence::Slowness, weight, first);
+                }
+            }
+            Outcome::Error { status, .. } if status < 500 => good = true,
+            Outcome::Error { .. } | Outcome::ConnectFailed => {
+                self.failures.record(true);
+                entry.health.failure(now, Evidence::Errors, failure, true);
+            }
+            Outcome::Truncated { .. } => {
+                self.failures.record(true);
+                entry
+                    .health
+                    .failure(now, Evidence::Truncation, failure, true);
+            }
+            Outcome::NotRun { .. } => {
+                let weight = failure * NOT_RUN_PART;
+                entry.health.failure(now, Evidence::Errors, weight, true);
+            }
+            Outcome::Stalled { .. } => self.slow.record(true),
+            Outcome::Cancelled { .. } => {}
+        }
+        entry.health.settle(now, self.weights.threshold);
+        if running.trial {
+            entry.trial.running = false;
+            let cancelled = matches!(outcome, Outcome::Cancelled { .. });
+            entry.trial.passed += u32::from(good);
+            entry.trial.failed |= !good && !cancelled;
+        }
+    }
+
+    /// Looks for requests in flight that are overdue, without waiting for their time-out.
+    pub(crate) fn check_running(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let weight = self.slow.failure_weight();
+        for (slot, running) in &mut self.running {
+            let Some(entry) = self.upstreams.get_mut(&running.upstream) else {
+                continue;
+            };
+            let slow_from = entry.health.slow_from(self.typical.p50);
+            let level = UpstreamHealth::level(now.saturating_sub(running.active), slow_from);
+            while running.level < level && entry.view.state == UpstreamState::Live {
+                let first = running.level == 0;
+                running.level += 1;
+                entry.health.reached(running.level);
+                if entry.health.may_be_connection(now, running.started) {
+                    entry.health.silence(now, weight, first);
+                } else {
+                    running.full += 1;
+                    entry.health.failure(now, Evidence::Stalls, weight, first);
+                }
+            }
+            entry.health.settle(now, self.weights.threshold);
+            if level < RETIRE_LEVEL || running.abandoned {
+                continue;
+            }
+            let upstream = running.upstream;
+            let suspect_connection = entry.health.may_be_connection(now, running.started);
+            if suspect_connection && !entry.health.retired_since(running.started) {
+                entry.health.retire(now);
+                actions.push(Action::RetireConnections {
+                    upstream,
+                    opened_until: now,
+                });
+                actions.push(Action::Probe { upstream });
+            }
+            if running.idempotent {
+                running.abandoned = true;
+                let lease = Lease {
+                    upstream,
+                    slot: *slot,
+                };
+                let ticket = running.ticket;
+                actions.push(Action::Abandon { ticket, lease });
+            }
+        }
+    }
+
+    fn siblings(&self, now: Duration, upstream: UpstreamKey, since: Duration) -> Siblings {
+        let mut siblings = Siblings::default();
+        let others = self.upstreams.iter().filter(|(key, u)| {
+            **key != upstream
+                && u.routable()
+                && !matches!(u.standing, Standing::Ejected | Standing::Trial)
+        });
+        for (_, entry) in others {
+            let own = entry.health.last_success();
+            let reports = entry.peers.values();
+            let last = reports
+                .clone()
+                .filter_map(|r| r.view.last_success)
+                .chain(own)
+                .max();
+            let fresh = |heard: Duration| now.saturating_sub(heard) <= health::REPORT_AGE;
+            let elevated = entry.health.elevated(now)
+                || reports.clone().any(|r| r.elevated && fresh(r.view.heard));
+            siblings.total += 1;
+            siblings.good += u32::from(last > Some(since));
+            siblings.elevated += u32::from(elevated);
+        }
+        siblings
+    }
+
+    /// Evaluates one upstream and ejects it, asks for that, or ranks it last.
+    pub(crate) fn judge(
+        &mut self,
+        now: Duration,
+        upstream: UpstreamKey,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.upstreams.get(&upstream) else {
+            return;
+        };
+        let Some(since) = entry.health.first_failure() else {
+            return self.clear_suspicion(now, upstream, actions);
+        };
+        let excluded = matches!(entry.standing, Standing::Ejected | Standing::Trial);
+        if excluded || !entry.routable() {
+            return;
+        }
+        let siblings = self.siblings(now, upstream, since);
+        let co_owner = entry.view.co_owner.and_then(|peer| entry.peers.get(&peer));
+        let peer = co_owner.map(|report| report.view);
+        let verdict = health::verdict(now, &self.weights, &entry.health, peer, siblings);
+        match verdict {
+            Verdict::Fine => self.clear_suspicion(now, upstream, actions),
+            Verdict::Shared => {
+                if let Some(entry) = self.upstreams.get_mut(&upstream) {
+                    entry.health.discount(now);
+                }
+            }
+            Verdict::PathFault(evidence) => {
+                self.suspect(now, upstream, Standing::PathFault, evidence, actions);
+            }
+            Verdict::Unhealthy(evidence) => self.eject(now, upstream, evidence, actions),
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        now: Duration,
+        upstream: UpstreamKey,
+        standing: Standing,
+        evidence: Evidence,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            entry.suspected = Some(standing);
+            entry.evidence = Some(evidence);
+            actions.extend(self.refresh_one(now, upstream));
+        }
+    }
+
+    fn clear_suspicion(&mut self, now: Duration, upstream: UpstreamKey, actions: &mut Vec<Action>) {
+        let clear_below = self.weights.threshold * ELEVATED;
+        if let Some(entry) = self.upstreams.get_mut(&upstream)
+            && entry.suspected.is_some()
+            && entry.health.score() < clear_below
+        {
+            entry.suspected = None;
+            actions.extend(self.refresh_one(now, upstream));
+        }
+    }
+
+    fn eject(
+        &mut self,
+        now: Duration,
+        upstream: UpstreamKey,
+        evidence: Evidence,
+        actions: &mut Vec<Action>,
+    ) {
+        self.suspect(now, upstream, Standing::RankedLast, evidence, actions);
+        if self.apply_permit(now, upstream, actions) {
+            return;
+        }
+        let Some(entry) = self.upstreams.get_mut(&upstream) else {
+            return;
+        };
+        if entry.asked_at.is_none_or(|at| now >= at + ASK_INTERVAL) {
+            entry.asked_at = Some(now);
+            let holder = self.announced.free_holder(now);
+            if let Some(holder) = holder {
+                self.announced.asked(holder);
+            }
+            actions.push(Action::AskEject { holder, upstream });
+        }
+    }
+
+    /// Uses a held permit for an upstream; false when none is free.
+    pub(crate) fn apply_permit(
+        &mut self,
+        now: Duration,
+        upstream: UpstreamKey,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let usable: Vec<PermitNumber> = self
+            .held
+            .numbers()
+            .filter(|permit| self.usable(*permit))
+            .collect();
+        let applied = self.held.apply(now, upstream, |p| usable.contains(&p));
+        if applied.is_some() {
+            self.announce(now, actions);
+            actions.extend(self.refresh_one(now, upstream));
+        }
+        applied.is_some()
+    }
+
+    /// Moves the ejections of held permits through their phases.
+    pub(crate) fn drive_uses(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let uses: Vec<(PermitNumber, Use)> = self.held.uses().collect();
+        for (permit, used) in uses {
+            let next = self.next_phase(now, permit, used);
+            match next {
+                Next::Stay => continue,
+                Next::End => self.held.end(now, permit),
+                Next::Phase(phase) => self.held.set_phase(now, permit, phase),
+            }
+            self.announce(now, actions);
+            actions.extend(self.refresh_one(now, used.upstream));
+        }
+    }
+
+    fn next_phase(&self, now: Duration, permit: PermitNumber, used: Use) -> Next {
+        let Some(entry) = self.upstreams.get(&used.upstream) else {
+            return Next::End;
+        };
+        let twice = self
+            .announced
+            .honoured(now)
+            .any(|(p, _, other)| p < permit && other.upstream == used.upstream);
+        if twice || !entry.routable() || !self.usable(permit) {
+            return Next::End;
+        }
+        let offenses = entry.health.offenses(now);
+        match used.phase {
+            Phase::Out if now >= used.since + self.weights.penalty_of(offenses) => {
+                Next::Phase(Phase::Trial)
+            }
+            Phase::Out => Next::Stay,
+            Phase::Trial => {
+                let peers = entry.peers.values().filter(|r| r.view.heard > used.since);
+                let all = peers.map(|r| r.trial).chain([entry.trial]);
+                let passed: u32 = all.clone().map(|t| t.passed).sum();
+                if all.clone().any(|t| t.failed) {
+                    Next::Phase(Phase::Out)
+                } else if passed >= self.weights.trials_of(offenses) {
+                    Next::End
+                } else {
+                    Next::Stay
+                }
+            }
+        }
+    }
+
+    /// The permit that excludes an upstream in this home's view; being out precedes a trial.
+    pub(crate) fn exclusion(
+        &self,
+        now: Duration,
+        upstream: UpstreamKey,
+    ) -> Option<(PermitNumber, DaemonRun, Use)> {
+        let own = self.held.of(upstream).map(|(p, used)| (p, self.me, used));
+        let others = self.announced.honoured(now);
+        own.into_iter()
+            .chain(others)
+            .filter(|(permit, _, used)| used.upstream == upstream && self.usable(*permit))
+            .min_by_key(|(permit, _, used)| (used.phase == Phase::Trial, *permit))
+    }
+
+    /// Recomputes the standing of every upstream.
+    pub(crate) fn refresh(&mut self, now: Duration) -> Vec<Action> {
+        let keys: Vec<UpstreamKey> = self.upstreams.keys().copied().collect();
+        let actions = keys
+            .into_iter()
+            .flat_map(|key| self.refresh_one(now, key))
+            .collect();
+        let mut entries = self.upstreams.values();
+        self.at_floor = entries.any(|u| u.standing == Standing::RankedLast);
+        actions
+    }
+
+    /// Recomputes the standing of an upstream and reports a change.
+    pub(crate) fn refresh_one(&mut self, now: Duration, upstream: UpstreamKey) -> Option<Action> {
+        let excluded = self.exclusion(now, upstream);
+        let slow_start = self.config.slow_start;
+        let entry = self.upstreams.get_mut(&upstream)?;
+        let standing = match excluded {
+            _ if !entry.routable() => Standing::Leaving,
+            Some((_, _, used)) if used.phase == Phase::Trial => Standing::Trial,
+            Some(_) => Standing::Ejected,
+            None => entry.suspected.unwrap_or(Standing::InUse),
+        };
+        let before = std::mem::replace(&mut entry.standing, standing);
+        if before == standing {
+            return None;
+        }
+        entry.since = now;
+        let was_out = matches!(before, Standing::Ejected | Standing::Trial);
+        let is_out = matches!(standing, Standing::Ejected | Standing::Trial);
+        if is_out {
+            // The evidence and the results belong to the phase that ends here.
+            entry.trial = Trial {
+                running: entry.trial.running,
+                ..Trial::default()
+            };
+        }
+        if standing == Standing::Ejected {
+            entry.health.offense(now);
+        }
+        if is_out && !was_out {
+            let evidence = entry.evidence.unwrap_or(Evidence::Announced);
+            entry.evidence = Some(evidence);
+            return Some(Action::Ejected { upstream, evidence });
+        }
+        if was_out && !is_out {
+            entry.suspected = None;
+            entry.evidence = None;
+            entry.health.clear();
+            if standing != Standing::Leaving {
+                entry.standing = Standing::InUse;
+                entry.slots.slow_start(now, slow_start);
+                return Some(Action::Restored { upstream });
+            }
+        }
+        if standing == Standing::InUse {
+            entry.evidence = None;
+        }
+        None
+    }
+
+    /// True when this home's own recent traffic speaks against an ejection.
+    pub(crate) fn works_here(entry: &Upstream, now: Duration, threshold: f64) -> bool {
+        let recent = |at: Duration| now.saturating_sub(at) <= RECENT_SUCCESS;
+        entry.health.last_success().is_some_and(recent)
+            && entry.health.score() < threshold * ELEVATED
+    }
+}
+
+/// What happens to an ejection.
+enum Next {
+    Stay,
+    Phase(Phase),
+    End,
+}
--- a/crates/corianderworks_decision/src/dispatch_types.rs
+++ b/crates/corianderworks_decision/src/dispatch_types.rs
@@ -212,6 +212,8 @@
     pub upstream: Option<UpstreamKey>,
     /// Phase of the ejection.
     pub phase: Phase,
+    /// True when the permit can be used now.
+    pub free: bool,
     /// The holder.
     pub holder: DaemonRun,
     /// Newest stamp that the holder received from each home.
@@ -228,14 +230,16 @@
     pub upstream: UpstreamKey,
     /// Evidence of failure, in thousandths of the ejection threshold.
     pub score_milli: u32,
-    /// True when most of the evidence is slowness rather than errors.
-    pub slow: bool,
+    /// Further evidence that a single silent connection could explain, in the same unit.
+    pub held_back_milli: u32,
+    /// Requests behind the evidence.
+    pub failures: u32,
     /// Age of the evidence's first failure.
     pub failing_for_ms: Option<u32>,
     /// Age of the last complete, timely response.
     pub success_age_ms: Option<u32>,
-    /// Median latency.
-    pub median_us: u32,
+    /// True when the score is high or was a moment ago.
+    pub elevated: bool,
     /// Successful trial requests since the trial began.
     pub trials_passed: u32,
     /// True when a trial request failed.
