--- /dev/null
+++ b/crates/corianderworks/src/api.rs
@@ -0,0 +1,1 @@
+//! Endpoints of the daemon itself.
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -8,21 +8,22 @@
 
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::dispatcher::{
-    Action, Admit, Dispatcher, Lease, Outcome, RequestView, Retry, Ticket,
+    Action, Admit, Dispatcher, Lease, Load, Outcome, Reason as QueueReason, RequestView, Retry,
+    Schedule, Ticket,
 };
 use corianderworks_decision::ids::{ServiceKey, UpstreamKey};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use parking_lot::Mutex;
-use tokio::sync::{mpsc, oneshot};
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::body::{self, Body, BodyEnd, Watched};
 use crate::headers;
-use crate::job::{Job, Reply};
+use crate::job::{Job, JobHead, Reply};
 use crate::refusal::{Reason, Refusal};
-use crate::upstream::{Checkout, Upstreams};
+use crate::upstream::{Checkout, Failed, Upstreams};
 
 /// What the control loop has to do for a home.
 #[derive(Debug)]
@@ -36,12 +37,13 @@
 /// Answer to a request that waits for a slot.
 enum Granted {
     Run(Lease),
-    Refused(Reason),
+    Refused(QueueReason),
 }
 
 struct HomeState {
     dispatcher: Dispatcher,
     waiting: HashMap<Ticket, oneshot::Sender<Granted>>,
+    running: HashMap<Lease, Arc<Notify>>,
     addresses: HashMap<UpstreamKey, SocketAddr>,
 }
 
@@ -53,11 +55,330 @@
     service: ServiceKey,
     clock: Arc<C>,
     upstreams: Arc<Upstreams<C>>,
+    via: HeaderValue,
     state: Mutex<HomeState>,
     next_ticket: AtomicU64,
     events: mpsc::UnboundedSender<HomeEvent>,
 }
 
+/// What follows one exchange with a backend server.
+enum Step {
+    Reply(Reply),
+    /// The exchange failed; the request can be sent again when this allows it.
+    Failed { outcome: Outcome, again: Option<Job>, otherwise: Reply },
+}
+
+impl<C> Home<C>
+where
+    C: Clock,
+{
+    /// Creates a home without upstreams.
+    pub fn new(
+        dispatcher: Dispatcher,
+        clock: Arc<C>,
+        upstreams: Arc<Upstreams<C>>,
+        via: HeaderValue,
+        events: mpsc::UnboundedSender<HomeEvent>,
+    ) -> Arc<Self> {
+        let state = HomeState {
+            dispatcher,
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            addresses: HashMap::new(),
+        };
+        Arc::new(Self {
+            service: state.dispatcher.service(),
+            clock,
+            upstreams,
+            via,
+            state: Mutex::new(state),
+            next_ticket: AtomicU64::new(1),
+            events,
+        })
+    }
+
+    /// Sets the addresses of the service's backend servers.
+    pub fn set_addresses(&self, addresses: HashMap<UpstreamKey, SocketAddr>) {
+        self.state.lock().addresses = addresses;
+    }
+
+    /// Gives the dispatcher an event and carries out what follows from it.
+    pub fn drive<F>(&self, event: F)
+    where
+        F: FnOnce(&mut Dispatcher, Duration) -> Vec<Action>,
+    {
+        let mut state = self.state.lock();
+        let actions = event(&mut state.dispatcher, self.clock.now());
+        self.apply(state, actions);
+    }
+
+    /// Reads from the dispatcher.
+    pub fn read<F, T>(&self, read: F) -> T
+    where
+        F: FnOnce(&mut Dispatcher, Duration) -> T,
+    {
+        read(&mut self.state.lock().dispatcher, self.clock.now())
+    }
+
+    /// Free slots and queue length.
+    pub fn load(&self) -> Load {
+        self.read(|dispatcher, now| dispatcher.load(now))
+    }
+
+    /// Address of an upstream.
+    pub fn address(&self, upstream: UpstreamKey) -> Option<SocketAddr> {
+        self.state.lock().addresses.get(&upstream).copied()
+    }
+
+    /// Runs a job on an upstream.
+    pub async fn run(self: &Arc<Self>, mut job: Job) -> Reply {
+        let mut request = RequestView {
+            ticket: Ticket(0),
+            customer: job.head.customer_key(),
+            priority: job.head.priority,
+            deadline: job.head.deadline,
+            idempotent: job.head.idempotent,
+            tried: Vec::new(),
+        };
+        loop {
+            request.ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+            let guard = self.acquire(&request).await?;
+            let upstream = guard.upstream();
+            match self.exchange_hedged(guard, job, &request).await {
+                Step::Reply(reply) => return reply,
+                Step::Failed { outcome, again, otherwise } => {
+                    let may =
+                        self.read(|dispatcher, now| dispatcher.may_retry(now, &request, outcome));
+                    match (may, again) {
+                        (Retry::Retry, Some(again)) => job = again,
+                        _ => return otherwise,
+                    }
+                    request.tried.push(upstream);
+                }
+            }
+        }
+    }
+
+    /// Waits for a slot until the deadline.
+    async fn acquire(
+        self: &Arc<Self>,
+        request: &RequestView,
+    ) -> Result<LeaseGuard<C>, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let now = self.clock.now();
+            let mut state = self.state.lock();
+            match state.dispatcher.admit(now, request.clone()) {
+                Admit::Run(lease) => return Ok(self.guard(&mut state, lease)),
+                Admit::Refuse(reason) => return Err(refuse(reason)),
+                Admit::Wait => state.waiting.insert(request.ticket, sender),
+            };
+        }
+        let _forget = WaitGuard { home: self.clone(), ticket: request.ticket };
+        match receiver.await {
+            Ok(Granted::Run(lease)) => Ok(self.guard(&mut self.state.lock(), lease)),
+            Ok(Granted::Refused(reason)) => Err(refuse(reason)),
+            Err(_) => Err(Refusal::not_run(Reason::Unavailable)),
+        }
+    }
+
+    fn guard(self: &Arc<Self>, state: &mut HomeState, lease: Lease) -> LeaseGuard<C> {
+        let abandon = state.running.entry(lease).or_default().clone();
+        let started = self.clock.now();
+        LeaseGuard { home: self.clone(), lease: Some(lease), abandon, started }
+    }
+
+    /// Exchanges a request, with a second attempt beside it when the first is late.
+    async fn exchange_hedged(
+        self: &Arc<Self>,
+        guard: LeaseGuard<C>,
+        job: Job,
+        request: &RequestView,
+    ) -> Step {
+        let hedge_after = match job.head.idempotent && job.body.is_end_stream() {
+            true => self.read(|dispatcher, now| dispatcher.hedge_after(now, request)),
+            false => None,
+        };
+        let Some(hedge_after) = hedge_after else { return self.exchange(guard, job).await };
+        let copy = Job { head: job.head.clone(), body: body::empty() };
+        let mut tried = request.clone();
+        tried.tried.push(guard.upstream());
+        let mut first = Box::pin(self.exchange(guard, job));
+        tokio::select! {
+            step = &mut first => return step,
+            () = tokio::time::sleep(hedge_after) => {}
+        }
+        tried.ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let lease = {
+            let mut state = self.state.lock();
+            let now = self.clock.now();
+            let lease = state.dispatcher.admit_hedge(now, &tried);
+            lease.map(|lease| self.guard(&mut state, lease))
+        };
+        let Some(second) = lease else { return first.await };
+        let mut second = Box::pin(self.exchange(second, copy));
+        tokio::select! {
+            step = &mut first => match step {
+                Step::Failed { .. } => second.await,
+                reply => reply,
+            },
+            step = &mut second => match step {
+                Step::Failed { .. } => first.await,
+                reply => reply,
+            },
+        }
+    }
+
+    /// Exchanges a request with one backend server.
+    async fn exchange(self: &Arc<Self>, guard: LeaseGuard<C>, job: Job) -> Step {
+        let Job { head, body } = job;
+        let replay = body.is_end_stream().then(|| head.clone());
+        let replay = || replay.map(|head| Job { head, body: body::empty() });
+        let unsent = |again| Step::Failed {
+            outcome: Outcome::ConnectFailed,
+            again: Some(again),
+            otherwise: Err(Refusal::not_run(Reason::Unavailable)),
+        };
+        let Some(address) = self.address(guard.upstream()) else {
+            guard.finish(Outcome::ConnectFailed);
+            return unsent(Job { head, body });
+        };
+        let mut checkout = match self.upstreams.checkout(guard.upstream(), address).await {
+            Ok(checkout) => checkout,
+            Err(error) => {
+                tracing::debug!("upstream: {error}");
+                guard.finish(Outcome::ConnectFailed);
+                return unsent(Job { head, body });
+            }
+        };
+        let left = head.time_left(self.clock.now());
+        if left.is_zero() {
+            // The daemon may have been paused since the request was admitted.
+            let latency = guard.elapsed();
+            guard.finish(Outcome::Cancelled { latency });
+            return Step::Reply(Err(Refusal::not_run(Reason::Deadline)));
+        }
+        let request = build_request(&head, body, left);
+        let abandon = guard.abandon.clone();
+        let sent = tokio::select! {
+            sent = tokio::time::timeout(left, checkout.send(request)) => sent.ok(),
+            () = abandon.notified(), if head.idempotent => None,
+        };
+        let latency = guard.elapsed();
+        match sent {
+            None => {
+                let born = checkout.born;
+                let upstream = guard.upstream();
+                guard.finish(Outcome::Stalled { latency });
+                self.drive(|d, now| d.silent_connection(now, upstream, born));
+                let otherwise = Err(Refusal::unknown(Reason::Deadline));
+                Step::Failed { outcome: Outcome::Stalled { latency }, again: replay(), otherwise }
+            }
+            Some(Err(Failed { unsent: Some(request), .. })) => {
+                // An idle connection that the backend server closed is no fault of its own.
+                guard.finish(Outcome::Cancelled { latency });
+                unsent(Job { head, body: request.into_body() })
+            }
+            Some(Err(Failed { error, unsent: None })) => {
+                tracing::debug!("upstream: {error}");
+                let outcome = Outcome::Truncated { latency };
+                guard.finish(outcome);
+                let otherwise = Err(Refusal::unknown(Reason::BackendFailed));
+                Step::Failed { outcome, again: replay(), otherwise }
+            }
+            Some(Ok(response)) => self.take_response(guard, checkout, response, latency, replay()),
+        }
+    }
+
+    fn take_response(
+        &self,
+        guard: LeaseGuard<C>,
+        checkout: Checkout<C>,
+        response: Response<Incoming>,
+        latency: Duration,
+        again: Option<Job>,
+    ) -> Step {
+        let status = response.status();
+        let drains = response.headers().contains_key(headers::DRAIN);
+        let outcome_field = response.headers().get(headers::OUTCOME);
+        if outcome_field.is_some_and(|value| value == "not-run") && !status.is_success() {
+            let outcome = Outcome::NotRun { latency };
+            guard.finish(outcome);
+            let otherwise = Err(Refusal::not_run(Reason::Overload));
+            return Step::Failed { outcome, again, otherwise };
+        }
+        if is_server_fault(status) {
+            let outcome = Outcome::Error { status: status.as_u16(), latency };
+            guard.finish(outcome);
+            // Without a retry the caller gets the backend server's own words.
+            let (parts, incoming) = self.prepare(response);
+            let watched = Watched::new(body::incoming(incoming), move |_| drop(checkout));
+            let otherwise = Ok(Response::from_parts(parts, watched.boxed_unsync()));
+            return Step::Failed { outcome, again, otherwise };
+        }
+        let (parts, incoming) = self.prepare(response);
+        let watched = Watched::new(body::incoming(incoming), move |end| {
+            let latency = guard.elapsed();
+            guard.finish(match end {
+                BodyEnd::Whole if drains => Outcome::Drained { latency },
+                BodyEnd::Whole => Outcome::Success { latency },
+                BodyEnd::Truncated => Outcome::Truncated { latency },
+                BodyEnd::Dropped => Outcome::Cancelled { latency },
+            });
+            if end == BodyEnd::Whole && !drains {
+                checkout.release();
+            }
+        });
+        Step::Reply(Ok(Response::from_parts(parts, watched.boxed_unsync())))
+    }
+
+    fn prepare(&self, response: Response<Incoming>) -> (http::response::Parts, Incoming) {
+        let (mut parts, incoming) = response.into_parts();
+        headers::prepare_response(&mut parts.headers, &self.via);
+        (parts, incoming)
+    }
+
+    fn finish(&self, lease: Lease, outcome: Outcome) {
+        let mut state = self.state.lock();
+        state.running.remove(&lease);
+        let actions = state.dispatcher.finish(self.clock.now(), lease, outcome);
+        self.apply(state, actions);
+    }
+
+    fn apply(&self, mut state: MutexGuard<'_, HomeState>, actions: Vec<Action>) {
+        let mut actions = std::collections::VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Start { ticket, lease } => {
+                    let waiter = state.waiting.remove(&ticket);
+                    let unused = waiter.map(|sender| sender.send(Granted::Run(lease)));
+                    if !matches!(unused, Some(Ok(()))) {
+                        let outcome = Outcome::Cancelled { latency: Duration::ZERO };
+                        let now = self.clock.now();
+                        actions.extend(state.dispatcher.finish(now, lease, outcome));
+                    }
+                }
+                Action::Refuse { ticket, reason } => {
+                    if let Some(sender) = state.waiting.remove(&ticket) {
+                        let _ = sender.send(Granted::Refused(reason));
+                    }
+                }
+                Action::Abandon { lease, .. } => {
+                    if let Some(abandon) = state.running.get(&lease) {
+                        abandon.notify_one();
+                    }
+                }
+                Action::RetireConnections { upstream, opened_until } => {
+                    self.upstreams.retire(upstream, opened_until);
+                }
+                action => {
+                    let _ = self.events.send(HomeEvent { service: self.service, action });
+                }
+            }
+        }
+    }
+}
+
 /// Slot of an upstream, released when dropped.
 struct LeaseGuard<C>
 where
@@ -65,6 +386,7 @@
 {
     home: Arc<Home<C>>,
     lease: Option<Lease>,
+    abandon: Arc<Notify>,
     started: Duration,
 }
 
@@ -72,6 +394,10 @@
 where
     C: Clock,
 {
+    fn upstream(&self) -> UpstreamKey {
+        self.lease.map_or(UpstreamKey(0), |lease| lease.upstream)
+    }
+
     fn elapsed(&self) -> Duration {
         self.home.clock.now().saturating_sub(self.started)
     }
@@ -89,7 +415,8 @@
 {
     fn drop(&mut self) {
         if let Some(lease) = self.lease.take() {
-            self.home.finish(lease, Outcome::Cancelled);
+            let latency = self.elapsed();
+            self.home.finish(lease, Outcome::Cancelled { latency });
         }
     }
 }
@@ -115,8 +442,80 @@
     }
 }
 
-/// What follows one exchange with a backend server.
-enum Step {
-    Reply(Reply),
-    Again { job: Job, outcome: Outcome, failed: UpstreamKey },
+/// Services that this daemon is a home of.
+pub struct Homes<C>
+where
+    C: Clock,
+{
+    homes: Mutex<HashMap<ServiceKey, Arc<Home<C>>>>,
+}
+
+impl<C> Default for Homes<C>
+where
+    C: Clock,
+{
+    fn default() -> Self {
+        Self { homes: Mutex::default() }
+    }
+}
+
+impl<C> Homes<C>
+where
+    C: Clock,
+{
+    /// Finds the home of a service.
+    pub fn get(&self, service: ServiceKey) -> Option<Arc<Home<C>>> {
+        self.homes.lock().get(&service).cloned()
+    }
+
+    /// Returns all homes.
+    pub fn all(&self) -> Vec<Arc<Home<C>>> {
+        self.homes.lock().values().cloned().collect()
+    }
+
+    /// Finds the home of a service, which is created when there is none.
+    pub fn get_or_insert<F>(&self, service: ServiceKey, create: F) -> Arc<Home<C>>
+    where
+        F: FnOnce() -> Arc<Home<C>>,
+    {
+        self.homes.lock().entry(service).or_insert_with(create).clone()
+    }
+
+    /// Runs a job at the home of its service.
+    pub async fn run(&self, job: Job) -> Reply {
+        match self.get(job.head.service_key()) {
+            Some(home) => home.run(job).await,
+            None => Err(Refusal::not_run(Reason::Unavailable)),
+        }
+    }
+
+    /// Free slots and queue length of a service.
+    pub fn load(&self, service: ServiceKey) -> Option<(u16, u16)> {
+        let load = self.get(service)?.load();
+        let clamp = |n: u32| n.min(u32::from(u16::MAX)) as u16;
+        Some((clamp(load.free_slots), clamp(load.queued)))
+    }
+}
+
+fn refuse(reason: QueueReason) -> Refusal {
+    Refusal::not_run(match reason {
+        QueueReason::QueueFull | QueueReason::Shed => Reason::Overload,
+        QueueReason::Late => Reason::Deadline,
+        QueueReason::NoUpstream => Reason::Unavailable,
+    })
+}
+
+/// Statuses that speak of the server rather than of the request. 501 and 505 are answers.
+fn is_server_fault(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 500 | 502 | 503 | 504)
+}
+
+fn build_request(head: &JobHead, body: Body, left: Duration) -> Request<Body> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = head.target.clone().into();
+    *request.headers_mut() = head.headers.clone();
+    let left_ms = left.as_millis() as u64;
+    request.headers_mut().insert(headers::DEADLINE_MS, HeaderValue::from(left_ms));
+    request
 }
--- a/crates/corianderworks/src/main.rs
+++ b/crates/corianderworks/src/main.rs
@@ -1,5 +1,7 @@
 //! The corianderworks binary.
 
+mod api;
+mod body;
 mod capacity;
 mod cli;
 mod commands;
@@ -8,13 +10,20 @@
 mod demo;
 mod experiment;
 mod grants;
+mod headers;
+mod home;
+mod job;
 mod kernel;
 mod keys;
 mod peer;
+mod permits;
 mod platform;
 mod proxy;
+mod refusal;
 mod relay;
+mod store;
 mod telemetry;
 mod upstream;
+mod view;
 
 fn main() {}
--- a/crates/corianderworks/src/peer.rs
+++ b/crates/corianderworks/src/peer.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderworks_decision::ids::DaemonKey;
 use corianderworks_wire::codec::{self, CodecError, PREFIX_BYTES};
 use parking_lot::Mutex;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
@@ -19,6 +18,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
+use tokio::sync::mpsc;
 
 use corianderworks_lists::settings::Tls;
 
@@ -38,9 +38,6 @@
     /// The keys are unusable.
     #[error("keys for peer connections are unusable: {0}")]
     Keys(String),
-    /// The address is unknown.
-    #[error("no address is known for daemon {0:?}")]
-    NoAddress(DaemonKey),
     /// The socket can't be opened.
     #[error("the peer socket can't be opened: {0}")]
     Socket(#[from] std::io::Error),
@@ -61,14 +58,6 @@
     Timeout,
 }
 
-/// Received datagram with the connection it came on.
-pub struct Received {
-    /// Connection, to be tied to the sender once the message names it.
-    pub connection: Connection,
-    /// Encoded message.
-    pub bytes: Bytes,
-}
-
 /// Counts of control traffic.
 #[derive(Debug, Default)]
 pub struct PeerCounts {
@@ -80,26 +69,36 @@
 
 #[derive(Default)]
 struct Slot {
-    address: Option<SocketAddr>,
-    outgoing: Option<Connection>,
-    incoming: Option<Connection>,
+    connection: Option<Connection>,
     connecting: Arc<tokio::sync::Mutex<()>>,
 }
 
-/// Connections to all other daemons.
+/// Connections to all other daemons, by peer address.
+///
+/// One socket both accepts and sets up connections, so the remote address of a connection is
+/// the peer address of the daemon at its other end, whoever set it up.
 pub struct Peers {
     endpoint: Endpoint,
-    slots: Mutex<HashMap<DaemonKey, Slot>>,
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    opened: mpsc::UnboundedSender<Connection>,
     counts: PeerCounts,
 }
 
 impl Peers {
-    /// Opens the socket for other daemons.
-    pub fn bind(address: SocketAddr, tls: &Tls) -> Result<Arc<Self>, PeerError> {
+    /// Opens the socket for other daemons. Every new connection, set up by either end, is
+    /// handed to the receiver, which has to serve it.
+    pub fn bind(
+        address: SocketAddr,
+        tls: &Tls,
+    ) -> Result<(Arc<Self>, mpsc::UnboundedReceiver<Connection>), PeerError> {
         let keys = Keys::parse(tls)?;
         let mut endpoint = Endpoint::server(keys.server()?, address)?;
         endpoint.set_default_client_config(keys.client()?);
-        Ok(Arc::new(Self { endpoint, slots: Mutex::default(), counts: PeerCounts::default() }))
+        let (opened, receiver) = mpsc::unbounded_channel();
+        let counts = PeerCounts::default();
+        let peers = Arc::new(Self { endpoint, slots: Mutex::default(), opened, counts });
+        tokio::spawn(accept(peers.clone()));
+        Ok((peers, receiver))
     }
 
     /// Returns the address that other daemons use.
@@ -107,63 +106,31 @@
         self.endpoint.local_addr()
     }
 
-    /// Returns the socket, for accepting connections.
-    pub fn endpoint(&self) -> &Endpoint {
-        &self.endpoint
-    }
-
     /// Returns counts of control traffic.
     pub fn counts(&self) -> &PeerCounts {
         &self.counts
     }
 
-    /// Sets the address of a daemon; a changed address drops the old connection.
-    pub fn set_address(&self, daemon: DaemonKey, address: SocketAddr) {
-        let mut slots = self.slots.lock();
-        let slot = slots.entry(daemon).or_default();
-        if slot.address != Some(address) {
-            slot.address = Some(address);
-            slot.outgoing = None;
-        }
-    }
-
-    /// Forgets a daemon that is dead.
-    pub fn remove(&self, daemon: DaemonKey) {
-        self.slots.lock().remove(&daemon);
-    }
-
-    /// Ties an accepted connection to the daemon that sent on it.
-    pub fn set_incoming(&self, daemon: DaemonKey, connection: &Connection) {
-        let mut slots = self.slots.lock();
-        slots.entry(daemon).or_default().incoming = Some(connection.clone());
-    }
-
     /// Returns a live connection, which is set up when there is none.
-    pub async fn connection(&self, daemon: DaemonKey) -> Result<Connection, PeerError> {
-        if let Some(live) = self.live_outgoing(daemon) {
+    pub async fn connection(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        if let Some(live) = self.live(to) {
             return Ok(live);
         }
-        let (address, connecting) = {
-            let mut slots = self.slots.lock();
-            let slot = slots.entry(daemon).or_default();
-            (slot.address.ok_or(PeerError::NoAddress(daemon))?, slot.connecting.clone())
-        };
+        let connecting = self.slots.lock().entry(to).or_default().connecting.clone();
         let _one_at_a_time = connecting.lock().await;
-        if let Some(live) = self.live_outgoing(daemon) {
+        if let Some(live) = self.live(to) {
             return Ok(live);
         }
-        let connection = self.connect(address).await?;
-        let mut slots = self.slots.lock();
-        slots.entry(daemon).or_default().outgoing = Some(connection.clone());
+        let connection = self.connect(to).await?;
+        self.register(connection.clone());
         Ok(connection)
     }
 
-    /// Sets up a connection to an address whose daemon is not known yet.
-    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+    async fn connect(&self, to: SocketAddr) -> Result<Connection, PeerError> {
         self.counts.connects.fetch_add(1, Ordering::Relaxed);
         let connecting = self
             .endpoint
-            .connect(address, CERTIFICATE_NAME)
+            .connect(to, CERTIFICATE_NAME)
             .map_err(|e| PeerError::Connect(e.to_string()))?;
         tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
@@ -171,30 +138,33 @@
             .map_err(|e| PeerError::Connect(e.to_string()))
     }
 
+    fn register(&self, connection: Connection) {
+        let mut slots = self.slots.lock();
+        slots.entry(connection.remote_address()).or_default().connection = Some(connection.clone());
+        drop(slots);
+        let _ = self.opened.send(connection);
+    }
+
     /// Opens a stream to a daemon.
-    pub async fn open(&self, daemon: DaemonKey) -> Result<Channel, PeerError> {
-        let connection = self.connection(daemon).await?;
+    pub async fn open(&self, to: SocketAddr) -> Result<Channel, PeerError> {
+        let connection = self.connection(to).await?;
         let (send, recv) =
             connection.open_bi().await.map_err(|e| PeerError::Lost(e.to_string()))?;
         Ok(Channel { send, recv })
     }
 
     /// Drops a connection on which nothing comes back, so that the next use sets up a new one.
-    pub fn retire(&self, daemon: DaemonKey) {
-        if let Some(slot) = self.slots.lock().get_mut(&daemon) {
-            if let Some(connection) = slot.outgoing.take() {
-                connection.close(VarInt::from_u32(0), b"silent");
-            }
-            slot.incoming = None;
+    pub fn retire(&self, to: SocketAddr) {
+        let connection =
+            self.slots.lock().get_mut(&to).and_then(|slot| slot.connection.take());
+        if let Some(connection) = connection {
+            connection.close(VarInt::from_u32(0), b"silent");
         }
     }
 
-    /// Sends a datagram on any live connection, or on a new one.
-    pub async fn send_datagram(&self, daemon: DaemonKey, bytes: Bytes) -> Result<(), PeerError> {
-        let connection = match self.live_any(daemon) {
-            Some(live) => live,
-            None => self.connection(daemon).await?,
-        };
+    /// Sends a datagram, on a new connection when none is live.
+    pub async fn send_datagram(&self, to: SocketAddr, bytes: Bytes) -> Result<(), PeerError> {
+        let connection = self.connection(to).await?;
         self.counts.datagram_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
         connection.send_datagram(bytes).map_err(|e| PeerError::Lost(e.to_string()))
     }
@@ -202,7 +172,7 @@
     /// Sends an ask on a stream of its own and waits for the answer.
     pub async fn ask<Q, A>(
         &self,
-        daemon: DaemonKey,
+        to: SocketAddr,
         ask: &Q,
         within: Duration,
     ) -> Result<A, PeerError>
@@ -211,13 +181,13 @@
         A: DeserializeOwned,
     {
         let exchange = async {
-            let mut channel = self.open(daemon).await?;
+            let mut channel = self.open(to).await?;
             channel.send(ask).await?;
             channel.recv().await
         };
         let answer = tokio::time::timeout(within, exchange).await;
         answer.unwrap_or_else(|_| {
-            self.retire(daemon);
+            self.retire(to);
             Err(PeerError::Timeout)
         })
     }
@@ -228,15 +198,21 @@
         self.endpoint.wait_idle().await;
     }
 
-    fn live_outgoing(&self, daemon: DaemonKey) -> Option<Connection> {
+    fn live(&self, to: SocketAddr) -> Option<Connection> {
         let slots = self.slots.lock();
-        slots.get(&daemon)?.outgoing.clone().filter(is_open)
+        slots.get(&to)?.connection.clone().filter(is_open)
     }
+}
 
-    fn live_any(&self, daemon: DaemonKey) -> Option<Connection> {
-        let slots = self.slots.lock();
-        let slot = slots.get(&daemon)?;
-        [&slot.outgoing, &slot.incoming].into_iter().flatten().find(|c| is_open(c)).cloned()
+async fn accept(peers: Arc<Peers>) {
+    while let Some(incoming) = peers.endpoint.accept().await {
+        let peers = peers.clone();
+        tokio::spawn(async move {
+            match incoming.await {
+                Ok(connection) => peers.register(connection),
+                Err(error) => tracing::warn!("peer: connection refused: {error}"),
+            }
+        });
     }
 }
 
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -234,7 +234,9 @@
         let service = job.head.service_key();
         let purpose = RelayPurpose::Dispatch;
         let now = self.clock.now();
-        let sent = relay::relay(&self.peers, home, job, request_id, self.me, purpose, now).await;
+        let address = self.view.load().member(home).map(|member| member.peer_address);
+        let Some(address) = address else { return Next::Again(job) };
+        let sent = relay::relay(&self.peers, address, job, request_id, self.me, purpose, now).await;
         match sent {
             Ok(relayed) => {
                 self.note_load(home, service, relayed.free_slots, relayed.queued);
--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -3,10 +3,11 @@
 //! One bidirectional stream carries one request and its response. Both bodies end with an
 //! explicit [`RelayFrame::End`]; a stream that ends without it is a truncated body.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderworks_decision::ids::{DaemonKey, DaemonRun};
+use corianderworks_decision::ids::DaemonRun;
 use corianderworks_wire::codec::BODY_FRAME_MAX_BYTES;
 use corianderworks_wire::message::{Ask, RelayAnswer, RelayFrame, RelayPurpose};
 use http::{Response, StatusCode};
@@ -46,7 +47,7 @@
 /// Relays a job to another daemon and returns its response.
 pub async fn relay(
     peers: &Peers,
-    to: DaemonKey,
+    to: SocketAddr,
     job: Job,
     request_id: u64,
     entry: DaemonRun,
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -19,6 +19,8 @@
 
 /// Longest time to set up a connection; a connection normally takes 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time for a probe, which normally takes 25 ms.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// An idle connection is closed after this long, before a middlebox forgets it.
 const IDLE_MAX: Duration = Duration::from_secs(20);
 /// Idle connections kept for one upstream; a share of the slots is at most a few.
@@ -187,3 +189,15 @@
     });
     Ok(sender)
 }
+
+/// Requests the health endpoint on a new connection.
+pub async fn probe(address: SocketAddr) -> bool {
+    let exchange = async {
+        let mut sender = connect(address).await.ok()?;
+        let request = Request::get("/health").body(crate::body::empty()).ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        Some(response.status().is_success())
+    };
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, exchange).await;
+    answer.ok().flatten().unwrap_or(false)
+}
--- a/crates/corianderworks/src/view.rs
+++ b/crates/corianderworks/src/view.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderworks_decision::ids::{CustomerKey, DaemonKey, ServiceKey, UpstreamKey};
+use corianderworks_decision::ids::{
+    CustomerKey, DaemonKey, DaemonRun, ServiceKey, UpstreamKey,
+};
 use corianderworks_decision::placement::{self, Candidate, Owners};
 use corianderworks_lists::lists::{Customers, Plans};
 use http::Method;
@@ -145,8 +147,12 @@
 pub struct MemberView {
     /// Key of the daemon.
     pub daemon: DaemonKey,
+    /// Its present run.
+    pub run: DaemonRun,
     /// Name of the daemon.
     pub name: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
     /// Failure domain.
     pub domain: Arc<str>,
     /// Address for callers.
--- a/crates/corianderworks_wire/src/message.rs
+++ b/crates/corianderworks_wire/src/message.rs
@@ -1,7 +1,8 @@
 //! Messages that daemons send each other.
 
 use bytes::Bytes;
-use corianderworks_decision::ids::{CustomerKey, DaemonRun, ServiceKey, UpstreamKey};
+use corianderworks_decision::dispatcher::{Announcement, EvidenceReport};
+use corianderworks_decision::ids::{CustomerKey, DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use corianderworks_decision::membership::{Ack, Gossip, MemberMessage, Ping, PingReq};
 use serde::{Deserialize, Serialize};
 
@@ -14,12 +15,12 @@
     Version,
     /// Asks for one chunk by the hash of its content.
     Chunk([u8; 32]),
+    /// Asks for a page of the VM list, for a daemon that starts while the platform is down.
+    Vms(u32),
     /// Asks for allowance of a customer.
     Grant(GrantAsk),
     /// Asks what became of an idempotency key.
     Key(String),
-    /// Asks a permit holder to eject an upstream.
-    Eject(EjectAsk),
 }
 
 /// Answer to an [`Ask`] other than a relay.
@@ -29,12 +30,12 @@
     Version(Option<Bytes>),
     /// Content of a chunk, absent when the daemon lacks it.
     Chunk(Option<Bytes>),
+    /// Page of the VM list as JSON, absent past the last page.
+    Vms(Option<Bytes>),
     /// Allowance of a customer.
     Grant(GrantAnswer),
     /// State of a key.
     Key(KeyState),
-    /// Whether the ejection was made.
-    Eject(bool),
 }
 
 /// Head of a relayed request.
@@ -142,15 +143,6 @@
     Unknown,
 }
 
-/// Request to a permit holder to eject an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EjectAsk {
-    /// Service.
-    pub service: ServiceKey,
-    /// Upstream.
-    pub upstream: UpstreamKey,
-}
-
 /// Largest encoded datagram in bytes, which fits the smallest path MTU of QUIC.
 pub const DATAGRAM_MAX_BYTES: usize = 1_200;
 
@@ -167,10 +159,12 @@
     Gossip(Gossip),
     /// Load of a home.
     LoadReport(LoadReport),
-    /// Verdict of an owner on an upstream.
+    /// Evidence of a home on the upstreams of a service.
     Evidence(Evidence),
     /// Ejection under a permit.
-    EjectAnnounce(EjectAnnounce),
+    Announce(Announce),
+    /// Request to a permit holder to eject an upstream.
+    AskEject(AskEject),
 }
 
 impl Datagram {
@@ -181,7 +175,7 @@
             Self::Ack(m) => Some(MemberMessage::Ack(m)),
             Self::PingReq(m) => Some(MemberMessage::PingReq(m)),
             Self::Gossip(m) => Some(MemberMessage::Gossip(m)),
-            Self::LoadReport(_) | Self::Evidence(_) | Self::EjectAnnounce(_) => None,
+            Self::LoadReport(_) | Self::Evidence(_) | Self::Announce(_) | Self::AskEject(_) => None,
         }
     }
 }
@@ -200,6 +194,8 @@
 /// Load of a home for one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
+    /// The sender.
+    pub from: DaemonKey,
     /// Service.
     pub service: ServiceKey,
     /// Free slots of the sender.
@@ -208,34 +204,31 @@
     pub queued: u16,
 }
 
-/// Verdict of an owner on an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Evidence of a home on the upstreams of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Service.
     pub service: ServiceKey,
-    /// Upstream.
-    pub upstream: UpstreamKey,
-    /// Requests in the sender's window.
-    pub window_requests: u16,
-    /// Failures in the sender's window.
-    pub window_failures: u16,
-    /// Whether the sender considers the upstream unhealthy.
-    pub suspect: bool,
-    /// Whether the sender had a recent success with it.
-    pub recent_success: bool,
+    /// Evidence.
+    pub report: EvidenceReport,
 }
 
 /// Ejection under a permit, renewed by its holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announce {
+    /// Service.
+    pub service: ServiceKey,
+    /// Use of the permit.
+    pub announcement: Announcement,
+}
+
+/// Request to a permit holder to eject an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EjectAnnounce {
+pub struct AskEject {
+    /// The sender.
+    pub from: DaemonKey,
     /// Service.
     pub service: ServiceKey,
-    /// Number of the permit.
-    pub permit: u16,
-    /// Number of the announcement; a higher one replaces a lower one.
-    pub sequence: u64,
-    /// Ejected upstream, `None` when the permit is not in use.
-    pub upstream: Option<UpstreamKey>,
-    /// Holder of the permit.
-    pub holder: DaemonRun,
+    /// Upstream.
+    pub upstream: UpstreamKey,
 }
