--- /dev/null
+++ b/crates/corianderworks_standin/tests/support/mod.rs
@@ -0,0 +1,102 @@
+//! HTTP client shared by the tests.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+/// Any free port on the loopback.
+pub fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Complete response.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    pub fn version(&self) -> u64 {
+        let etag = self.header("etag").expect("an etag");
+        etag.trim_matches('"').parse().expect("a version")
+    }
+
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+}
+
+/// Client with its own connection pool.
+#[derive(Clone)]
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl Http {
+    pub fn http1(address: SocketAddr) -> Self {
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self { client, address }
+    }
+
+    pub fn http2(address: SocketAddr) -> Self {
+        let client = Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .build_http();
+        Self { client, address }
+    }
+
+    /// Sends a request; `Err` is a failed connection or an incomplete body.
+    pub async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
+    ) -> Result<Answer, String> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::from(body)).expect("a valid request");
+        let response = self.client.request(request).await;
+        let (parts, body) = response.map_err(|e| format!("{e:?}"))?.into_parts();
+        let body = body.collect().await.map_err(|e| format!("{e:?}"))?;
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    pub async fn get(&self, path: &str) -> Result<Answer, String> {
+        self.send("GET", path, &[], "").await
+    }
+}
+
+/// Fails the test if the future takes longer than five seconds.
+pub async fn soon<F: Future>(future: F) -> F::Output {
+    let limit = Duration::from_secs(5);
+    let result = tokio::time::timeout(limit, future).await;
+    result.expect("took longer than five seconds")
+}
+
+/// Whether the future is still pending after the time.
+pub async fn is_pending<F: Future>(future: F, time: Duration) -> bool {
+    tokio::time::timeout(time, future).await.is_err()
+}
