Add the failure detector

Cause: the fleet needs one view of its members that survives asymmetric partitions, pauses, restarts, a lagging VM list and split regions. Change: probes of eight neighbours on four rings, indirect probes, suspicion with refutation, planned leaves, pushes of news, comparison of table digests with a random member every 30 s, and the precedence rules of the VM list. The tests exchange encoded datagrams in a plain loop. Conclusion: traffic, detection times and state at full scale are not measured yet.

--- a/crates/corianderworks_decision/src/membership.rs
+++ b/crates/corianderworks_decision/src/membership.rs
@@ -1,22 +1,52 @@
-//! Membership and failure detection.
+//! Membership and failure detection in the manner of SWIM.
+//!
+//! A member probes its neighbours on several rings, directly and then through helpers. News
+//! travels on probes, in pushes to a few neighbours, and in periodic comparisons of whole
+//! tables with a random member.
 
+mod detect;
+mod list;
 mod message;
+mod probe;
+mod queue;
+mod receive;
 mod record;
+mod ring;
+mod sync;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64;
+
 pub use message::{
     Ack, Action, Event, Gossip, Header, ListedVm, MemberMessage, Ping, PingReq, Sync, UPDATES_MAX,
     UPDATES_MAX_BYTES,
 };
 pub use record::{LABEL_MAX_BYTES, MemberRecord, MemberState, Update};
 
+use crate::addresses::Entry;
 use crate::ids::DaemonKey;
 use crate::placement::Candidate;
+use probe::Prober;
+use queue::Queue;
 
 /// Time between two calls of [`Membership::tick`].
 pub const TICK: Duration = Duration::from_millis(100);
+/// Time for a suspected member to refute.
+pub const SUSPICION: Duration = Duration::from_secs(3);
+/// Time after which an ended member that the VM list does not show is forgotten, and after
+/// which a leaving member that never reported its end counts as dead.
+pub const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// Most members in the table, over twice the design scale of 430.
+pub const MEMBERS_MAX: usize = 1_024;
+/// Least time between two pushes of news.
+const PUSH_INTERVAL: Duration = Duration::from_millis(250);
+/// Neighbours that get a push.
+const PUSH_FANOUT: usize = 3;
 
 /// A member as this daemon sees it.
 #[derive(Debug, Clone)]
@@ -25,45 +55,136 @@
     pub record: MemberRecord,
     /// Its state.
     pub state: MemberState,
-    /// When it entered the state.
+    /// When it entered the state, or when this daemon resumed after a pause.
     pub since: Duration,
+    /// Whether its VM disappeared from the VM list.
+    unlisted: bool,
+}
+
+impl Member {
+    fn new(record: MemberRecord, state: MemberState, since: Duration) -> Self {
+        Self {
+            record,
+            state,
+            since,
+            unlisted: false,
+        }
+    }
+
+    fn update(&self) -> Update {
+        Update {
+            state: self.state,
+            record: self.record.clone(),
+        }
+    }
+}
+
+/// Updates for one message, within the limits of number and size.
+#[derive(Debug, Default)]
+struct Batch {
+    updates: Vec<Update>,
+    bytes: usize,
+}
+
+impl Batch {
+    fn fits(&self, update: &Update) -> bool {
+        self.updates.len() < UPDATES_MAX
+            && self.bytes + update.record.encoded_max_bytes() <= UPDATES_MAX_BYTES
+    }
+
+    fn push(&mut self, update: Update) {
+        self.bytes += update.record.encoded_max_bytes();
+        self.updates.push(update);
+    }
 }
 
 /// Failure detector and member table of one daemon.
 #[derive(Debug)]
 pub struct Membership {
     me: MemberRecord,
+    my_state: MemberState,
+    told_to_leave: bool,
+    seeds: Vec<SocketAddr>,
+    table: BTreeMap<DaemonKey, Member>,
+    listed: BTreeMap<DaemonKey, ListedVm>,
+    queue: Queue,
+    prober: Prober,
+    probe_set: Vec<DaemonKey>,
+    ring_stale: bool,
+    rng: Pcg64,
+    generation: u64,
+    last_tick: Option<Duration>,
+    next_push: Duration,
+    next_sync: Duration,
 }
 
 impl Membership {
     /// Starts with only this daemon in the table.
     pub fn new(me: MemberRecord, seed: u64) -> Self {
-        let _ = seed;
-        Self { me }
+        let mut queue = Queue::default();
+        queue.add(me.daemon());
+        Self {
+            me,
+            my_state: MemberState::Alive,
+            told_to_leave: false,
+            seeds: Vec::new(),
+            table: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            queue,
+            prober: Prober::default(),
+            probe_set: Vec::new(),
+            ring_stale: false,
+            rng: Pcg64::seed_from_u64(seed),
+            generation: 0,
+            last_tick: None,
+            next_push: Duration::ZERO,
+            next_sync: Duration::ZERO,
+        }
     }
 
-    /// Adds peer addresses of daemons to contact while no other member is known.
-    pub fn with_seeds(self, seeds: Vec<SocketAddr>) -> Self {
-        let _ = seeds;
+    /// Adds peer addresses of daemons to contact while no other member is known to live.
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
         self
     }
 
     /// Processes an event.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
-        let _ = (now, event);
-        Vec::new()
+        let mut out = Vec::new();
+        if self.my_state == MemberState::Left {
+            return out;
+        }
+        match event {
+            Event::Message { from, message } => {
+                self.notice_pause(now, &mut out);
+                self.receive(now, from, message, &mut out);
+            }
+            Event::ConfigVersion(version) => {
+                if version > self.me.config_version {
+                    self.me.config_version = version;
+                    self.push_to_all(&mut out);
+                }
+            }
+            Event::Leave => self.set_my_state(MemberState::Leaving, &mut out),
+            Event::Left => self.set_my_state(MemberState::Left, &mut out),
+        }
+        out
     }
 
     /// Advances timers; called every [`TICK`].
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
-        let _ = now;
-        Vec::new()
-    }
-
-    /// Takes the daemon VMs of the platform's VM list. An empty list is ignored.
-    pub fn vm_list(&mut self, now: Duration, list: &[ListedVm]) -> Vec<Action> {
-        let _ = (now, list);
-        Vec::new()
+        let mut out = Vec::new();
+        if self.my_state == MemberState::Left {
+            return out;
+        }
+        self.notice_pause(now, &mut out);
+        self.last_tick = Some(now);
+        self.expire(now, &mut out);
+        self.refresh_probe_set();
+        self.probe(now, &mut out);
+        self.push_when_due(now, &mut out);
+        self.sync_when_due(now, &mut out);
+        out
     }
 
     /// This daemon's own record.
@@ -71,24 +192,203 @@
         &self.me
     }
 
+    /// This daemon's own state: alive, leaving or left.
+    pub fn my_state(&self) -> MemberState {
+        self.my_state
+    }
+
     /// A member other than this daemon.
     pub fn member(&self, daemon: DaemonKey) -> Option<&Member> {
-        let _ = daemon;
-        None
+        self.table.get(&daemon)
     }
 
     /// Every known member other than this daemon, in the order of their keys.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        std::iter::empty()
+        self.table.values()
     }
 
-    /// Live members including this daemon unless it is leaving, in the order of their keys.
+    /// Live members including this daemon unless it is leaving, for placement. Suspected
+    /// members stay, so that a refuted suspicion moves nothing.
     pub fn candidates(&self) -> Vec<Candidate> {
-        Vec::new()
+        self.records(MemberState::is_live)
+            .map(|record| Candidate {
+                daemon: record.daemon(),
+                domain: record.domain.clone(),
+            })
+            .collect()
     }
 
-    /// Number that changes whenever [`Membership::candidates`] or a member's state does.
+    /// Members that an address response may name: alive, neither suspected nor leaving.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.records(|state| state == MemberState::Alive)
+            .map(|record| Entry {
+                daemon: record.daemon(),
+                region: record.region.clone(),
+                domain: record.domain.clone(),
+                http_address: record.http_address,
+            })
+            .collect()
+    }
+
+    /// Members that this daemon probes.
+    pub fn probe_set(&self) -> &[DaemonKey] {
+        &self.probe_set
+    }
+
+    /// Number that changes whenever the state of a member or of this daemon does.
     pub fn generation(&self) -> u64 {
-        0
+        self.generation
+    }
+
+    fn records<F>(&self, wanted: F) -> impl Iterator<Item = &MemberRecord>
+    where
+        F: Fn(MemberState) -> bool,
+    {
+        let own = [(&self.me, self.my_state)];
+        let others = self.table.values().map(|m| (&m.record, m.state));
+        own.into_iter()
+            .chain(others)
+            .filter(move |(_, state)| wanted(*state))
+            .map(|(record, _)| record)
+    }
+
+    fn own_update(&self) -> Update {
+        Update {
+            state: self.my_state,
+            record: self.me.clone(),
+        }
+    }
+
+    fn header(&self, updates: Vec<Update>) -> Header {
+        Header {
+            sender: self.me.run,
+            config_version: self.me.config_version,
+            updates,
+        }
+    }
+
+    /// Header with `first` and then the newest news.
+    fn filled_header(&mut self, first: Option<Update>) -> Header {
+        let mut batch = Batch::default();
+        let about = first.as_ref().map(|update| update.record.daemon());
+        if let Some(update) = first {
+            batch.push(update);
+        }
+        let limit = queue::send_limit(self.table.len() + 1);
+        let own = self.own_update();
+        let table = &self.table;
+        self.queue.offer(limit, |daemon| {
+            if about == Some(daemon) {
+                return true;
+            }
+            let update = if daemon == own.record.daemon() {
+                own.clone()
+            } else if let Some(member) = table.get(&daemon) {
+                member.update()
+            } else {
+                return true;
+            };
+            let fits = batch.fits(&update);
+            if fits {
+                batch.push(update);
+            }
+            fits
+        });
+        self.header(batch.updates)
+    }
+
+    fn changed(&mut self, daemon: DaemonKey) {
+        self.queue.add(daemon);
+        self.generation += 1;
+        self.ring_stale = true;
+    }
+
+    fn set_state(
+        &mut self,
+        now: Duration,
+        daemon: DaemonKey,
+        to: MemberState,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(member) = self.table.get_mut(&daemon) else {
+            return;
+        };
+        let from = Some(member.state);
+        member.state = to;
+        member.since = now;
+        let run = member.record.run;
+        self.changed(daemon);
+        out.push(Action::Changed { run, from, to });
+    }
+
+    fn set_my_state(&mut self, to: MemberState, out: &mut Vec<Action>) {
+        if to > self.my_state {
+            self.my_state = to;
+            self.changed(self.me.daemon());
+            self.push_to_all(out);
+        }
+    }
+
+    /// Makes room by forgetting the member that ended first.
+    fn evict_ended(&mut self) -> bool {
+        let oldest = self
+            .table
+            .values()
+            .filter(|m| m.state.is_gone())
+            .min_by_key(|m| m.since)
+            .map(|m| m.record.daemon());
+        match oldest {
+            Some(daemon) => {
+                self.queue.remove(daemon);
+                self.table.remove(&daemon).is_some()
+            }
+            None => false,
+        }
+    }
+
+    fn refresh_probe_set(&mut self) {
+        if std::mem::take(&mut self.ring_stale) {
+            let others: Vec<DaemonKey> = self
+                .table
+                .values()
+                .filter(|m| m.state.is_live())
+                .map(|m| m.record.daemon())
+                .collect();
+            self.probe_set = ring::probe_set(self.me.daemon(), &others);
+        }
+    }
+
+    /// Random neighbours, to which a connection is open.
+    fn neighbours(&mut self, count: usize, except: Option<DaemonKey>) -> Vec<SocketAddr> {
+        let known: Vec<SocketAddr> = self
+            .probe_set
+            .iter()
+            .filter(|daemon| Some(**daemon) != except)
+            .filter_map(|daemon| self.table.get(daemon))
+            .map(|member| member.record.peer_address)
+            .collect();
+        known
+            .choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect()
+    }
+
+    fn push_when_due(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now < self.next_push || !self.queue.wants_push() {
+            return;
+        }
+        self.next_push = now + PUSH_INTERVAL;
+        for to in self.neighbours(PUSH_FANOUT, None) {
+            let header = self.filled_header(None);
+            self.send_gossip(to, header.updates, out);
+        }
+    }
+
+    fn push_to_all(&mut self, out: &mut Vec<Action>) {
+        self.refresh_probe_set();
+        for to in self.neighbours(ring::PROBE_SET, None) {
+            let header = self.filled_header(None);
+            self.send_gossip(to, header.updates, out);
+        }
     }
 }
--- /dev/null
+++ b/crates/corianderworks_decision/src/membership/detect.rs
@@ -0,0 +1,125 @@
+//! Failure detection: probes, suspicion, and pauses of this daemon itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::message::{Action, MemberMessage, Ping, PingReq};
+use super::probe::{Due, Probe};
+use super::record::MemberState;
+use super::{FORGET_AFTER, Membership, SUSPICION};
+use crate::ids::{DaemonKey, DaemonRun};
+
+/// Gap between two ticks from which on this daemon was paused: answers to its probes may have
+/// expired or been dropped meanwhile, so they are no evidence against others.
+const PAUSE_GAP: Duration = Duration::from_millis(500);
+/// Helpers of an indirect probe.
+const HELPERS: usize = 3;
+
+impl Membership {
+    /// Evidence collected across a pause of this daemon is void.
+    pub(super) fn notice_pause(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let Some(last) = self.last_tick else {
+            return;
+        };
+        let gap = now.saturating_sub(last);
+        if gap < PAUSE_GAP {
+            return;
+        }
+        self.last_tick = Some(now);
+        self.prober.forget_current();
+        for member in self.table.values_mut() {
+            if member.state == MemberState::Suspect {
+                member.since = now;
+            }
+        }
+        out.push(Action::Resumed { gap });
+    }
+
+    /// Ends suspicions, and forgets ended members.
+    pub(super) fn expire(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let due: Vec<DaemonKey> = self
+            .table
+            .values()
+            .filter(|m| match m.state {
+                MemberState::Suspect => now >= m.since + SUSPICION,
+                MemberState::Leaving => now >= m.since + FORGET_AFTER,
+                _ => false,
+            })
+            .map(|m| m.record.daemon())
+            .collect();
+        for daemon in due {
+            self.set_state(now, daemon, MemberState::Dead, out);
+        }
+        let (listed, queue) = (&self.listed, &mut self.queue);
+        self.table.retain(|daemon, m| {
+            // A listed VM's record is kept, because its run is named when the list drops it.
+            let keep =
+                !m.state.is_gone() || now < m.since + FORGET_AFTER || listed.contains_key(daemon);
+            if !keep {
+                queue.remove(*daemon);
+            }
+            keep
+        });
+    }
+
+    pub(super) fn probe(&mut self, now: Duration, out: &mut Vec<Action>) {
+        match self.prober.due(now) {
+            Due::Nothing => {}
+            Due::Retry(probe) => self.probe_indirectly(&probe, out),
+            Due::Failed(target) => self.suspect(now, target, out),
+        }
+        let next = self.prober.next_target(now, &self.probe_set, &mut self.rng);
+        if let Some(member) = next.and_then(|daemon| self.table.get(&daemon)) {
+            let (run, to) = (member.record.run, member.record.peer_address);
+            let sequence = self.prober.start(now, run);
+            self.send_ping(run.daemon, to, sequence, out);
+        }
+    }
+
+    fn send_ping(
+        &mut self,
+        target: DaemonKey,
+        to: SocketAddr,
+        sequence: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let about = self.suspicion_of(target);
+        let header = self.filled_header(about);
+        let message = MemberMessage::Ping(Ping { sequence, header });
+        out.push(Action::Send { to, message });
+    }
+
+    /// Retries a probe through helpers, and directly in case only a datagram was lost.
+    fn probe_indirectly(&mut self, probe: &Probe, out: &mut Vec<Action>) {
+        let target = probe.target;
+        let Some(member) = self.table.get(&target.daemon) else {
+            return;
+        };
+        let target_address = member.record.peer_address;
+        self.send_ping(target.daemon, target_address, probe.sequence, out);
+        for to in self.neighbours(HELPERS, Some(target.daemon)) {
+            let header = self.filled_header(None);
+            let message = MemberMessage::PingReq(PingReq {
+                sequence: probe.sequence,
+                target,
+                target_address,
+                header,
+            });
+            out.push(Action::Send { to, message });
+        }
+    }
+
+    fn suspect(&mut self, now: Duration, target: DaemonRun, out: &mut Vec<Action>) {
+        let Some(member) = self.table.get(&target.daemon) else {
+            return;
+        };
+        if member.state != MemberState::Alive || member.record.run != target {
+            return;
+        }
+        let to = member.record.peer_address;
+        self.set_state(now, target.daemon, MemberState::Suspect, out);
+        if let Some(update) = self.suspicion_of(target.daemon) {
+            self.send_gossip(to, vec![update], out);
+        }
+    }
+}
--- a/crates/corianderworks_decision/src/membership/message.rs
+++ b/crates/corianderworks_decision/src/membership/message.rs
@@ -10,9 +10,9 @@
 
 /// Most updates in one message.
 pub const UPDATES_MAX: usize = 8;
-/// Bytes of a datagram that updates may fill: 1,200 less the fixed fields of the longest
-/// message and the digest of a synchronisation.
-pub const UPDATES_MAX_BYTES: usize = 1_200 - 80 - 170;
+/// Bytes of a datagram that updates may fill: a packet of 1,200 bytes less 50 for QUIC, 90 for
+/// the fixed fields of the longest message and 170 for the digest of a synchronisation.
+pub const UPDATES_MAX_BYTES: usize = 1_200 - 50 - 90 - 170;
 
 /// Fields of every message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -150,6 +150,9 @@
         /// Its peer address.
         address: SocketAddr,
     },
+    /// Another process runs under this daemon's name with a higher incarnation, so this run
+    /// is accepted by no member: the VM was replaced, or its wall clock went back.
+    Superseded(DaemonRun),
     /// The VM list shows this daemon's own VM as leaving.
     ListedLeaving,
     /// This daemon was paused; probes in flight were dropped and suspicions restarted.
--- /dev/null
+++ b/crates/corianderworks_decision/src/membership/sync.rs
@@ -0,0 +1,151 @@
+//! Comparison of two member tables, so that late joiners and healed partitions converge.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Membership;
+use super::message::{Action, Gossip, MemberMessage, Sync};
+use super::record::{MemberRecord, MemberState, Update};
+use crate::ids::DaemonKey;
+
+/// Buckets of a digest: a difference in one member costs the records of one bucket.
+const BUCKETS: usize = 32;
+/// Time between two synchronisations with a random member. Each may cost a QUIC handshake of
+/// several KB, about 130 bytes/s at this interval.
+const INTERVAL: Duration = Duration::from_secs(30);
+/// The same while no other member is known to live.
+const INTERVAL_ALONE: Duration = Duration::from_secs(1);
+/// Members contacted at once while no other member is known to live.
+const CONTACTS_ALONE: usize = 3;
+/// Most datagrams in answer to one digest; 64 hold a table at full scale.
+const DATAGRAMS_MAX: usize = 64;
+
+fn bucket(daemon: DaemonKey) -> usize {
+    (daemon.0 % BUCKETS as u64) as usize
+}
+
+/// Hash of what two tables must agree on. Suspicion passes quickly and counts as alive; ended
+/// members are left out, because every table forgets them at its own time.
+fn fingerprint(record: &MemberRecord, state: MemberState) -> u32 {
+    let mut bytes = [0; 21];
+    bytes[..8].copy_from_slice(&record.run.daemon.0.to_le_bytes());
+    bytes[8..16].copy_from_slice(&record.run.incarnation.0.to_le_bytes());
+    bytes[16..20].copy_from_slice(&record.refutation.to_le_bytes());
+    bytes[20] = u8::from(state == MemberState::Leaving);
+    xxh3_64(&bytes) as u32
+}
+
+impl Membership {
+    fn digest(&self) -> Vec<u32> {
+        let mut buckets = vec![0u32; BUCKETS];
+        let own = (&self.me, self.my_state);
+        let others = self.table.values().map(|m| (&m.record, m.state));
+        for (record, state) in others.chain([own]).filter(|(_, s)| !s.is_gone()) {
+            let slot = &mut buckets[bucket(record.daemon())];
+            *slot = slot.wrapping_add(fingerprint(record, state));
+        }
+        buckets
+    }
+
+    /// Sends a digest to a random member when one is due.
+    pub(super) fn sync_when_due(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if now < self.next_sync {
+            return;
+        }
+        let alone = !self.table.values().any(|m| m.state.is_live());
+        let (interval, contacts) = if alone {
+            (INTERVAL_ALONE, CONTACTS_ALONE)
+        } else {
+            (INTERVAL, 1)
+        };
+        self.next_sync = now + interval.mul_f64(self.rng.random_range(0.75..1.25));
+        let known = self.contacts(alone);
+        let picked: Vec<SocketAddr> = known
+            .choose_multiple(&mut self.rng, contacts)
+            .copied()
+            .collect();
+        for to in picked {
+            self.send_digest(to, false, out);
+        }
+    }
+
+    /// Addresses worth a synchronisation. Members held for dead are included, since that is
+    /// how the sides of a healed partition find each other.
+    fn contacts(&self, alone: bool) -> Vec<SocketAddr> {
+        let members = self
+            .table
+            .values()
+            .filter(|m| m.state != MemberState::Left && !m.unlisted)
+            .map(|m| m.record.peer_address);
+        let listed = self
+            .listed
+            .iter()
+            .filter(|(daemon, vm)| !self.table.contains_key(daemon) && !vm.leaving)
+            .map(|(_, vm)| vm.peer_address);
+        let seeds = self.seeds.iter().copied().filter(|_| alone);
+        let mut all: Vec<SocketAddr> = members
+            .chain(listed)
+            .chain(seeds)
+            .filter(|address| *address != self.me.peer_address)
+            .collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// Sends the own record and the digest of the table.
+    pub(super) fn send_digest(&mut self, to: SocketAddr, answer: bool, out: &mut Vec<Action>) {
+        let sync = Sync {
+            answer,
+            buckets: self.digest(),
+        };
+        let header = self.header(vec![self.own_update()]);
+        let message = MemberMessage::Gossip(Gossip {
+            sync: Some(sync),
+            header,
+        });
+        out.push(Action::Send { to, message });
+    }
+
+    /// Answers a digest with the records in which the tables differ.
+    pub(super) fn answer_digest(&mut self, from: SocketAddr, sync: &Sync, out: &mut Vec<Action>) {
+        let mine = self.digest();
+        if sync.buckets.len() != mine.len() || sync.buckets == mine {
+            return;
+        }
+        let differs = |daemon| mine[bucket(daemon)] != sync.buckets[bucket(daemon)];
+        let mut updates: Vec<Update> = self
+            .table
+            .values()
+            .filter(|m| differs(m.record.daemon()))
+            .map(|m| Update {
+                state: m.state,
+                record: m.record.clone(),
+            })
+            .collect();
+        updates.shuffle(&mut self.rng);
+        // Members that run come first, in case the answer is cut off.
+        updates.sort_by_key(|update| update.state.is_gone());
+        let mut rest = updates.into_iter().peekable();
+        for _ in 0..DATAGRAMS_MAX {
+            if rest.peek().is_none() {
+                break;
+            }
+            let mut batch = super::Batch::default();
+            while let Some(update) = rest.next_if(|update| batch.fits(update)) {
+                batch.push(update);
+            }
+            let header = self.header(batch.updates);
+            let message = MemberMessage::Gossip(Gossip { sync: None, header });
+            out.push(Action::Send { to: from, message });
+        }
+        // The digest goes last, so that it is compared after the records above arrived.
+        if !sync.answer {
+            self.send_digest(from, true, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderworks_decision/tests/membership.rs
@@ -0,0 +1,318 @@
+//! Faults of the failure detector, each at machines that exchange encoded datagrams.
+
+mod fleet;
+
+use std::time::Duration;
+
+use corianderworks_decision::ids::Incarnation;
+use corianderworks_decision::membership::{
+    Action, Event, FORGET_AFTER, MemberState, Membership, SUSPICION,
+};
+use fleet::{DOMAINS, Fleet, address, key, record};
+
+/// Guards against joiners that never hear of members they have no address of.
+#[test]
+fn members_started_from_one_seed_know_each_other() {
+    let mut fleet = Fleet::new(20, 1);
+    fleet.run(5_000);
+    fleet.assert_all_alive();
+}
+
+/// Guards against a dead member that keeps receiving work, or is noticed by few only.
+#[test]
+fn a_dead_member_is_dead_everywhere() {
+    let mut fleet = Fleet::joined(40, 2);
+    fleet.running[7] = false;
+    fleet.run(10_000);
+    fleet.assert_states(0..40, 7..8, MemberState::Dead);
+    assert!(fleet.machines[0].probe_set().iter().all(|d| *d != key(7)));
+}
+
+/// Guards against false deaths when a path fails in one direction or both.
+#[test]
+fn a_member_reachable_by_others_stays_alive() {
+    type Cut = fn(usize, usize) -> bool;
+    let cuts: [(&str, Cut); 4] = [
+        ("2 to 5 lost", |from, to| (from, to) == (2, 5)),
+        ("5 to 2 lost", |from, to| (from, to) == (5, 2)),
+        ("2 and 5 both ways", |f, t| f + t == 7 && f.abs_diff(t) == 3),
+        ("2 reaches only 0 to 7", |f, t| f == 2 && t > 7),
+    ];
+    for (name, cut) in cuts {
+        let mut fleet = Fleet::joined(12, 3);
+        fleet.cut = Box::new(cut);
+        fleet.run(60_000);
+        assert_eq!(fleet.deaths(2).len() + fleet.deaths(5).len(), 0, "{name}");
+    }
+}
+
+/// Guards against a member that can receive but not send, or the reverse, counting as alive.
+#[test]
+fn a_member_cut_off_in_one_direction_is_dead_and_recovers() {
+    for sends in [true, false] {
+        let mut fleet = Fleet::joined(20, 4);
+        fleet.cut = Box::new(move |from, to| if sends { to == 3 } else { from == 3 });
+        fleet.run(15_000);
+        fleet.assert_states((0..20).filter(|i| *i != 3), 3..4, MemberState::Dead);
+        fleet.cut = Box::new(|_, _| false);
+        fleet.run(90_000);
+        fleet.assert_all_alive();
+    }
+}
+
+/// Guards against a paused member that takes all others for dead when it wakes, at each step of
+/// a probe and of a suspicion.
+#[test]
+fn a_paused_member_wakes_without_accusing_anyone() {
+    for (before_ms, pause_ms) in [
+        (0, 600),
+        (100, 1_500),
+        (300, 3_500),
+        (500, 20_000),
+        (950, 60_000),
+    ] {
+        let mut fleet = Fleet::joined(20, 5);
+        fleet.run(before_ms);
+        fleet.running[4] = false;
+        fleet.run(pause_ms);
+        fleet.actions.clear();
+        fleet.running[4] = true;
+        fleet.run(10_000);
+        let accused = fleet.actions.iter().find(|(_, i, action)| {
+            *i == 4
+                && matches!(
+                    action,
+                    Action::Changed {
+                        to: MemberState::Dead,
+                        ..
+                    }
+                )
+        });
+        assert_eq!(accused, None, "pause of {pause_ms} ms");
+        let resumed =
+            |(_, i, a): &(_, usize, Action)| *i == 4 && matches!(a, Action::Resumed { .. });
+        assert!(fleet.actions.iter().any(resumed));
+        fleet.assert_all_alive();
+    }
+}
+
+/// Guards against a restart that is taken for the old run, or holds on to what that held.
+#[test]
+fn a_restart_replaces_and_releases_the_old_run() {
+    let mut fleet = Fleet::joined(20, 6);
+    fleet.machines[9] = Membership::new(record(9, 2_000), 99).with_seeds(vec![address(1)]);
+    fleet.run(5_000);
+    fleet.assert_all_alive();
+    let old = record(9, 1_000).run;
+    for i in (0..20).filter(|i| *i != 9) {
+        let member = fleet.machines[i].member(key(9)).expect("known");
+        assert_eq!(member.record.run.incarnation, Incarnation(2_000));
+        let released = fleet
+            .actions
+            .iter()
+            .filter(|(_, at, a)| *at == i && *a == Action::Released(old));
+        assert_eq!(released.count(), 1);
+    }
+}
+
+/// Guards against a run with a clock that went back and that nobody accepts.
+#[test]
+fn a_restart_with_an_older_incarnation_is_told_so() {
+    let mut fleet = Fleet::joined(8, 7);
+    fleet.machines[3] = Membership::new(record(3, 500), 99).with_seeds(vec![address(1)]);
+    fleet.run(3_000);
+    let told = Action::Superseded(record(3, 1_000).run);
+    assert!(fleet.actions.iter().any(|(_, i, a)| *i == 3 && *a == told));
+}
+
+/// Guards against a planned leave that passes through suspicion or is undone by it.
+#[test]
+fn a_planned_leave_never_passes_through_suspicion() {
+    let mut fleet = Fleet::joined(20, 8);
+    fleet.event(6, Event::Leave);
+    fleet.run(2_500);
+    fleet.assert_states(0..20, 6..7, MemberState::Leaving);
+    assert!(
+        fleet.machines[0]
+            .candidates()
+            .iter()
+            .all(|c| c.daemon != key(6))
+    );
+    fleet.run(10_000);
+    fleet.event(6, Event::Left);
+    fleet.run(3_000);
+    fleet.running[6] = false;
+    fleet.run(20_000);
+    fleet.assert_states(0..20, 6..7, MemberState::Left);
+    let wrong = fleet.actions.iter().find(|(_, _, action)| {
+        matches!(action, Action::Changed { run, to: MemberState::Suspect | MemberState::Dead, .. }
+            if run.daemon == key(6))
+    });
+    assert_eq!(wrong, None);
+}
+
+/// Guards against each contradiction between the VM list and gossip being resolved wrongly.
+#[test]
+fn the_list_decides_on_gone_and_gossip_on_alive() {
+    let mut fleet = Fleet::joined(10, 9);
+    let all = fleet.vms(0..10);
+    fleet.list(0, &fleet.vms(0..9));
+    assert_eq!(
+        fleet.state(0, 9),
+        Some(MemberState::Alive),
+        "never listed, answers"
+    );
+    fleet.list(0, &all);
+    fleet.list(0, &[]);
+    assert_eq!(fleet.state(0, 9), Some(MemberState::Alive), "empty list");
+
+    fleet.list(0, &fleet.vms(0..9));
+    assert_eq!(
+        fleet.state(0, 9),
+        Some(MemberState::Dead),
+        "seen before, not listed"
+    );
+    let released = Action::Released(record(9, 1_000).run);
+    assert!(
+        fleet
+            .actions
+            .iter()
+            .any(|(_, i, a)| *i == 0 && *a == released)
+    );
+    fleet.run(20_000);
+    assert_eq!(
+        fleet.state(0, 9),
+        Some(MemberState::Dead),
+        "answers but its VM is gone"
+    );
+    fleet.list(0, &all);
+    fleet.run(90_000);
+    assert_eq!(fleet.state(0, 9), Some(MemberState::Alive), "listed again");
+
+    let mut leaving = all.clone();
+    leaving[5].leaving = true;
+    fleet.list(0, &leaving);
+    assert_eq!(
+        fleet.state(0, 5),
+        Some(MemberState::Leaving),
+        "listed as leaving"
+    );
+    fleet.run(5_000);
+    fleet.assert_states(0..10, 5..6, MemberState::Leaving);
+    let told = fleet
+        .actions
+        .iter()
+        .filter(|(_, i, a)| *i == 5 && *a == Action::ListedLeaving);
+    assert_eq!(
+        told.count(),
+        1,
+        "the leaving member is told by gossip, once"
+    );
+}
+
+/// Guards against deaths without the list releasing what a live but unreachable member holds.
+#[test]
+fn only_the_list_or_a_newer_run_releases() {
+    let mut fleet = Fleet::joined(12, 10);
+    for i in 0..12 {
+        fleet.list(i, &fleet.vms(0..12));
+    }
+    fleet.running[2] = false;
+    fleet.run((FORGET_AFTER + SUSPICION * 4).as_millis() as u64);
+    let released = |(_, _, a): &(_, _, Action)| matches!(a, Action::Released(_));
+    assert!(!fleet.actions.iter().any(released));
+    fleet.list(0, &fleet.vms((0..12).filter(|i| *i != 2)));
+    assert!(
+        fleet.actions.iter().any(released),
+        "a listed VM is not forgotten"
+    );
+    fleet.run(1_000);
+    assert_eq!(fleet.state(0, 2), None, "forgotten once it is not listed");
+}
+
+/// Guards against survivors that drag each other down when a domain disappears at once.
+#[test]
+fn losing_a_domain_kills_its_members_only() {
+    let mut fleet = Fleet::joined(70, 11);
+    let lost = |i: &usize| i % DOMAINS == 2;
+    (0..70).filter(lost).for_each(|i| fleet.running[i] = false);
+    fleet.run(15_000);
+    fleet.assert_states(0..70, (0..70).filter(lost), MemberState::Dead);
+    fleet.assert_states(0..70, (0..70).filter(|i| !lost(i)), MemberState::Alive);
+}
+
+/// Guards against sides of a healed partition that keep each other dead, also when each has
+/// forgotten the other and only the VM list still names it.
+#[test]
+fn split_regions_find_each_other_again() {
+    for minutes in [1, 12] {
+        let mut fleet = Fleet::joined(28, 12);
+        for i in 0..28 {
+            fleet.list(i, &fleet.vms(0..28));
+        }
+        let north = |i: usize| i % DOMAINS < 4;
+        fleet.cut = Box::new(move |from, to| north(from) != north(to));
+        fleet.run(minutes * 60_000);
+        for side in [true, false] {
+            let on = move |i: &usize| north(*i) == side;
+            fleet.assert_states((0..28).filter(on), (0..28).filter(on), MemberState::Alive);
+            let off = move |i: &usize| north(*i) != side;
+            fleet.assert_states((0..28).filter(on), (0..28).filter(off), MemberState::Dead);
+        }
+        fleet.cut = Box::new(|_, _| false);
+        fleet.run(90_000);
+        fleet.assert_all_alive();
+    }
+}
+
+/// Guards against false deaths under loss, duplication and reordering, over several seeds.
+#[test]
+fn lossy_links_kill_nobody() {
+    for seed in 100..110 {
+        let mut fleet = Fleet::joined(16, seed);
+        fleet.loss = 0.05;
+        fleet.duplication = 0.1;
+        fleet.jitter_ms = 150;
+        fleet.run(120_000);
+        let deaths: usize = (0..16).map(|i| fleet.deaths(i).len()).sum();
+        assert_eq!(deaths, 0, "seed {seed}");
+        fleet.running[3] = false;
+        fleet.run(15_000);
+        fleet.assert_states(0..16, 3..4, MemberState::Dead);
+    }
+}
+
+/// Guards against members that few others probe, whose death would be found late.
+#[test]
+fn every_member_is_probed_by_several() {
+    let fleet = Fleet::joined(60, 13);
+    for i in 0..60 {
+        let probers = (0..60).filter(|j| fleet.machines[*j].probe_set().contains(&key(i)));
+        let count = probers.count();
+        assert!(count >= 4, "{i} is probed by {count}");
+    }
+}
+
+/// Guards against a configuration version that stays with its first holder.
+#[test]
+fn a_newer_version_is_heard_everywhere_within_seconds() {
+    let mut fleet = Fleet::joined(40, 14);
+    fleet.event(0, Event::ConfigVersion(5));
+    let start = fleet.now;
+    while fleet.now < start + Duration::from_secs(6) {
+        fleet.run(100);
+        let heard: Vec<usize> = fleet
+            .actions
+            .iter()
+            .filter_map(|(_, i, action)| match action {
+                Action::NewerVersion { version: 5, .. } => Some(*i),
+                _ => None,
+            })
+            .collect();
+        fleet.actions.clear();
+        heard
+            .into_iter()
+            .for_each(|i| fleet.event(i, Event::ConfigVersion(5)));
+    }
+    assert!(fleet.machines.iter().all(|m| m.me().config_version == 5));
+}
