--- a/crates/corianderworks_decision/src/limits.rs
+++ b/crates/corianderworks_decision/src/limits.rs
@@ -10,8 +10,8 @@
 //! rate * t + burst + members + one grant
 //! ```
 //!
-//! requests of a customer, where `burst` is [`BURST`] of the rate and one grant is
-//! [`GRANT_LIFETIME`] of the rate: a home deducts a grant when it gives it, so only grants of
+//! requests of a customer, where `burst` is [`BURST`] of the rate (at least one request per home) and one grant is
+//! [`GRANT_LIFETIME`] of the rate (at least one request per home): a home deducts a grant when it gives it, so only grants of
 //! the last lifetime are spent in a window without being deducted in it, and every member has
 //! at most one request on credit that a home has not yet repaid out of its rate.
 //!
@@ -22,7 +22,7 @@
 mod entry;
 mod home;
 
-pub use entry::{Admission, AskFailure, ConcurrencyGuard, LimitEntry};
+pub use entry::{ASK_TIMEOUT, Admission, AskFailure, ConcurrencyGuard, LimitEntry, SentAsk, Spent};
 pub use home::{LimitHome, PeerState};
 
 use std::time::Duration;
@@ -68,3 +68,24 @@
     /// Time until a new ask makes sense, in milliseconds.
     pub retry_after_ms: u32,
 }
+
+/// Fractions of a request that allowances are counted in.
+const MICRO: i64 = 1_000_000;
+
+/// Allowance in millionths of a request that a rate yields, given in the same unit per second.
+fn earned(rate_micro: i64, time: Duration) -> i64 {
+    let micro = i128::from(rate_micro) * time.as_micros() as i128 / i128::from(MICRO);
+    i64::try_from(micro).unwrap_or(i64::MAX)
+}
+
+/// Time that a rate needs to yield an allowance.
+fn time_for(rate_micro: i64, allowance_micro: i64) -> Duration {
+    if allowance_micro <= 0 {
+        return Duration::ZERO;
+    }
+    if rate_micro <= 0 {
+        return Duration::MAX;
+    }
+    let micros = (i128::from(allowance_micro) * i128::from(MICRO)).div_euclid(rate_micro.into());
+    Duration::from_micros(u64::try_from(micros + 1).unwrap_or(u64::MAX))
+}
