Test the plan limits

Change: a fleet of entries and homes with slow and one-way links, home deaths and returns checks the bound over random walks with a fixed seed; tables check that demand within the plan is admitted, the takeover, the guard of places and the size of the tables.

--- /dev/null
+++ b/crates/corianderworks_decision/tests/limits.rs
@@ -0,0 +1,396 @@
+//! Bound, use and faults of the plan limits, on entries and homes with a lossy network between.
+
+use std::time::Duration;
+
+use corianderworks_decision::ids::{CustomerKey, DaemonKey};
+use corianderworks_decision::limits::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const CUSTOMER: CustomerKey = CustomerKey(5);
+const HOMES: [Option<DaemonKey>; 2] = [Some(DaemonKey(100)), Some(DaemonKey(101))];
+const DELAY: Duration = Duration::from_millis(2);
+const CONFIRMED: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(1);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Level that falls at a rate and must never rise over a limit: this checks every window.
+#[derive(Debug, Default)]
+struct Level {
+    level: f64,
+    since: Duration,
+}
+
+impl Level {
+    fn add(&mut self, now: Duration, rate: f64) -> f64 {
+        let fallen = (now - self.since).as_secs_f64() * rate;
+        self.level = (self.level - fallen).max(0.0) + 1.0;
+        self.since = now;
+        self.level
+    }
+}
+
+#[derive(Debug)]
+struct Home {
+    machine: LimitHome,
+    down_since: Option<Duration>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    no_ask: bool,
+    no_answer: bool,
+    slow: bool,
+}
+
+#[derive(Debug)]
+enum Message {
+    Ask(usize, SentAsk),
+    Answer(usize, SentAsk, GrantAnswer),
+}
+
+#[derive(Debug)]
+struct Fleet {
+    now: Duration,
+    allowance: Allowance,
+    entries: Vec<LimitEntry>,
+    homes: Vec<Home>,
+    links: Vec<[Link; 2]>,
+    messages: Vec<(Duration, Message)>,
+    waiting: Vec<(usize, Duration)>,
+    admitted: u32,
+    fallback: u32,
+    level: Level,
+    fallback_levels: Vec<Level>,
+}
+
+impl Fleet {
+    fn new(members: usize, rate_per_s: u32) -> Self {
+        let home = || Home {
+            machine: LimitHome::new(Duration::ZERO),
+            down_since: None,
+        };
+        Self {
+            now: Duration::ZERO,
+            allowance: Allowance {
+                rate_per_s,
+                concurrency: u32::MAX,
+            },
+            entries: (0..members).map(|_| LimitEntry::default()).collect(),
+            homes: vec![home(), home()],
+            links: (0..members).map(|_| Default::default()).collect(),
+            messages: Vec::new(),
+            waiting: Vec::new(),
+            admitted: 0,
+            fallback: 0,
+            level: Level::default(),
+            fallback_levels: (0..members).map(|_| Level::default()).collect(),
+        }
+    }
+
+    fn request(&mut self, entry: usize, arrived: Option<Duration>) {
+        let members = self.entries.len();
+        let (admission, ask) = self.entries[entry].admit(
+            self.now,
+            CUSTOMER,
+            self.allowance,
+            HOMES,
+            members,
+            arrived.is_some(),
+        );
+        if let Some(ask) = ask {
+            let link = &self.links[entry][home_index(&ask)];
+            let delay = if link.slow { ms(150) } else { DELAY };
+            if !link.no_ask {
+                let message = Message::Ask(entry, ask);
+                self.messages.push((self.now + delay, message));
+            }
+        }
+        match admission {
+            Admission::Admitted(_, Spent::Fallback) => self.admit_fallback(entry),
+            Admission::Admitted(..) => self.admit(),
+            Admission::Wait => {
+                let arrived = arrived.unwrap_or(self.now);
+                self.waiting.push((entry, arrived));
+            }
+            _ => {}
+        }
+    }
+
+    fn admit(&mut self) {
+        self.admitted += 1;
+        let rate = f64::from(self.allowance.rate_per_s);
+        let burst = rate.max(2.0);
+        let grant = (rate * GRANT_LIFETIME.as_secs_f64()).max(2.0);
+        let bound = burst + grant + self.entries.len() as f64;
+        let level = self.level.add(self.now, rate);
+        assert!(
+            level <= bound,
+            "{level} over the bound {bound} at {:?}",
+            self.now
+        );
+    }
+
+    fn admit_fallback(&mut self, entry: usize) {
+        self.fallback += 1;
+        let share = f64::from(self.allowance.rate_per_s) / self.entries.len() as f64;
+        let level = self.fallback_levels[entry].add(self.now, share.max(1.0));
+        assert!(level <= 2.0 + 1e-6, "{level} over the fallback share");
+    }
+
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            let now = self.now;
+            let due: Vec<_> = self.messages.extract_if(.., |(at, _)| *at <= now).collect();
+            due.into_iter()
+                .for_each(|(_, message)| self.deliver(message));
+            for (entry, arrived) in std::mem::take(&mut self.waiting) {
+                if now < arrived + ASK_TIMEOUT {
+                    self.request(entry, Some(arrived));
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Ask(entry, ask) => {
+                let index = home_index(&ask);
+                let peer = match self.homes[1 - index].down_since {
+                    Some(since) if self.now >= since + CONFIRMED => PeerState::Dead,
+                    _ => PeerState::Alive,
+                };
+                let link = &self.links[entry][index];
+                let home = &mut self.homes[index];
+                if home.down_since.is_some() {
+                    return;
+                }
+                let answer = home.machine.ask(self.now, ask.ask, self.allowance, peer);
+                let delay = if link.slow { ms(150) } else { DELAY };
+                if !link.no_answer {
+                    let message = Message::Answer(entry, ask, answer.unwrap());
+                    self.messages.push((self.now + delay, message));
+                }
+            }
+            Message::Answer(entry, ask, answer) => {
+                self.entries[entry].answered(self.now, ask, answer);
+            }
+        }
+    }
+
+    fn set_down(&mut self, home: usize, down: bool) {
+        let home = &mut self.homes[home];
+        match (down, home.down_since) {
+            (true, None) => home.down_since = Some(self.now),
+            (false, Some(_)) => {
+                home.down_since = None;
+                home.machine = LimitHome::new(self.now);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn home_index(ask: &SentAsk) -> usize {
+    usize::from(Some(ask.home) == HOMES[1])
+}
+
+/// Guards against a customer that is refused although it stays within its plan, and against
+/// an overload that gets more or much less than the plan.
+#[test]
+fn demand_within_the_plan_is_admitted() {
+    // Members, rate, requests/s of each member, least and most admitted in 10 s after 3 s.
+    let rows: [(&str, usize, u32, u64, u32, u32); 6] = [
+        ("slow at many entries", 40, 100, 2, 760, 800),
+        ("fast at one entry", 1, 100, 90, 855, 900),
+        ("at some entries", 5, 100, 18, 855, 900),
+        ("one request/s", 1, 2, 1, 10, 10),
+        ("overload of four times", 40, 100, 10, 900, 1000 + 160),
+        ("overload of one entry", 1, 50, 500, 450, 500 + 61),
+    ];
+    for (name, members, rate, demand, least, most) in rows {
+        let mut fleet = Fleet::new(members, rate);
+        let mut before = 0;
+        for tick in 0..13_000 {
+            if tick == 3000 {
+                before = fleet.admitted;
+            }
+            for entry in 0..members {
+                let phase = entry as u64 * 1000 / members as u64;
+                if (tick + phase) * demand / 1000 != (tick + phase + 1) * demand / 1000 {
+                    fleet.request(entry, None);
+                }
+            }
+            fleet.pass(STEP);
+        }
+        let admitted = fleet.admitted - before;
+        println!("{name}: {admitted} admitted in 10 s");
+        assert!((least..=most).contains(&admitted), "{name}: {admitted}");
+        assert_eq!(fleet.fallback, 0, "{name}");
+    }
+}
+
+/// Guards against a takeover before the last grant expired, half of the rate after it, and
+/// both homes at the full rate after the return.
+#[test]
+fn takeover_of_a_dead_home() {
+    let mut home = LimitHome::new(Duration::ZERO);
+    let allowance = Allowance {
+        rate_per_s: 100,
+        concurrency: 1,
+    };
+    let mut drain = |from_ms: u64, peer| {
+        let ask = GrantAsk {
+            customer: CUSTOMER,
+            credit: 0,
+            wanted: 1000,
+        };
+        let mut granted = 0;
+        for at in (from_ms..from_ms + 1000).step_by(20) {
+            granted += home.ask(ms(at), ask, allowance, peer).unwrap().allowed;
+        }
+        granted
+    };
+    drain(3000, PeerState::Alive);
+    let rows = [
+        (4000, PeerState::Alive, 49..=51),
+        // 200 ms at half of the rate, 800 ms at the full rate.
+        (5000, PeerState::Dead, 88..=91),
+        (6000, PeerState::Dead, 99..=101),
+        (7000, PeerState::Alive, 49..=52),
+    ];
+    for (from, peer, expected) in rows {
+        let granted = drain(from, peer);
+        assert!(expected.contains(&granted), "{from} ms: {granted}");
+    }
+}
+
+/// Guards against places that are not released, and a table that grows without bound.
+#[test]
+fn concurrency_and_tables_are_bounded() {
+    let allowance = Allowance {
+        rate_per_s: 1000,
+        concurrency: 1,
+    };
+    let mut entry = LimitEntry::with_capacity(2);
+    let mut admit = |now, customer| {
+        let customer = CustomerKey(customer);
+        let (admission, ask) = entry.admit(now, customer, allowance, HOMES, 1, false);
+        if let Some(ask) = ask {
+            let answer = GrantAnswer {
+                allowed: 9,
+                lifetime_ms: 200,
+                retry_after_ms: 0,
+            };
+            entry.answered(now, ask, answer);
+        }
+        admission
+    };
+    let first = admit(ms(0), 1);
+    assert!(matches!(first, Admission::Admitted(..)));
+    assert!(matches!(admit(ms(1), 1), Admission::OverConcurrency));
+    drop(first);
+    let held = admit(ms(2), 1);
+    assert!(matches!(held, Admission::Admitted(..)));
+    drop(admit(ms(3), 2));
+    assert!(matches!(admit(ms(4), 3), Admission::Full));
+    // Customer 2 is idle now; customer 1 still has a request.
+    let later = ms(4) + IDLE_LIFETIME;
+    assert!(matches!(admit(later, 3), Admission::Admitted(..)));
+    assert!(matches!(admit(later, 4), Admission::Full));
+    assert!(matches!(admit(later, 1), Admission::OverConcurrency));
+
+    let mut home = LimitHome::with_capacity(Duration::ZERO, 1);
+    let mut ask = |now, customer| {
+        let ask = GrantAsk {
+            customer: CustomerKey(customer),
+            credit: 1,
+            wanted: 0,
+        };
+        home.ask(now, ask, allowance, PeerState::Alive).is_some()
+    };
+    assert!(ask(ms(2000), 1) && !ask(ms(2001), 2) && ask(ms(2002), 1));
+    assert!(ask(ms(2002) + IDLE_LIFETIME, 2));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Requests(usize, u8),
+    Pass(u64),
+    Link(usize, usize, bool, bool, bool),
+    Down(usize, bool),
+}
+
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    /// Members and rate of the plan.
+    type State = (usize, u32);
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        (1..6usize, prop_oneof![Just(1u32), 1..20u32, 50..300u32]).boxed()
+    }
+
+    fn transitions(&(members, _): &Self::State) -> BoxedStrategy<Step> {
+        prop_oneof![
+            8 => (0..members, 1..60u8).prop_map(|(e, n)| Step::Requests(e, n)),
+            6 => (1..40u64).prop_map(Step::Pass),
+            2 => (100..6000u64).prop_map(Step::Pass),
+            3 => (0..members, 0..2usize, any::<bool>(), any::<bool>(), any::<bool>())
+                .prop_map(|(e, h, a, b, c)| Step::Link(e, h, a, b, c)),
+            2 => (0..2usize, any::<bool>()).prop_map(|(h, d)| Step::Down(h, d)),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _: &Step) -> Self::State {
+        state
+    }
+}
+
+struct LimitWalk;
+
+impl StateMachineTest for LimitWalk {
+    type SystemUnderTest = Fleet;
+    type Reference = Reference;
+
+    fn init_test(&(members, rate): &(usize, u32)) -> Fleet {
+        Fleet::new(members, rate)
+    }
+
+    fn apply(mut fleet: Fleet, _: &(usize, u32), step: Step) -> Fleet {
+        match step {
+            Step::Requests(entry, count) => (0..count).for_each(|_| fleet.request(entry, None)),
+            Step::Pass(time) => fleet.pass(ms(time)),
+            Step::Link(entry, home, no_ask, no_answer, slow) => {
+                fleet.links[entry][home] = Link {
+                    no_ask,
+                    no_answer,
+                    slow,
+                };
+            }
+            Step::Down(home, down) => fleet.set_down(home, down),
+        }
+        fleet
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x6c69_6d69),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+    /// Guards against a customer that gets more than `rate * time + burst + members + one
+    /// grant` in any window, under home deaths, one-way partitions and slow links.
+    #[test]
+    fn no_window_exceeds_the_bound(sequential 1..80 => LimitWalk);
+}
