--- a/crates/corianderworks/src/body.rs
+++ b/crates/corianderworks/src/body.rs
@@ -35,12 +35,15 @@
 
 /// Body with content at hand.
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Full::new(content.into()).map_err(|e| match e {}).boxed_unsync()
+    Full::new(content.into())
+        .map_err(|e| match e {})
+        .boxed_unsync()
 }
 
 /// Body received by hyper.
 pub fn incoming(body: hyper::body::Incoming) -> Body {
-    body.map_err(|e| BodyError::Truncated(e.to_string())).boxed_unsync()
+    body.map_err(|e| BodyError::Truncated(e.to_string()))
+        .boxed_unsync()
 }
 
 /// Body with a limit on its length and on pauses between its parts.
@@ -56,7 +59,13 @@
     /// Limits a body.
     pub fn new(inner: Body, limit_bytes: u64, pause: Duration) -> Self {
         let sleep = Box::pin(tokio::time::sleep(pause));
-        Self { inner, left_bytes: limit_bytes, limit_bytes, pause, sleep }
+        Self {
+            inner,
+            left_bytes: limit_bytes,
+            limit_bytes,
+            pause,
+            sleep,
+        }
     }
 }
 
@@ -77,7 +86,9 @@
         };
         let next = Instant::now() + self.pause;
         self.sleep.as_mut().reset(next);
-        let Some(Ok(frame)) = frame else { return Poll::Ready(frame) };
+        let Some(Ok(frame)) = frame else {
+            return Poll::Ready(frame);
+        };
         let length = frame.data_ref().map_or(0, |data| data.len() as u64);
         match self.left_bytes.checked_sub(length) {
             None => Poll::Ready(Some(Err(BodyError::TooLong(self.limit_bytes)))),
@@ -123,7 +134,10 @@
 {
     /// Watches a body; a body without content ends at once.
     pub fn new(inner: Body, on_end: F) -> Self {
-        let mut watched = Self { inner, on_end: Some(on_end) };
+        let mut watched = Self {
+            inner,
+            on_end: Some(on_end),
+        };
         if watched.inner.is_end_stream() {
             watched.end(BodyEnd::Whole);
         }
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -16,7 +16,7 @@
 use corianderworks_decision::drain::{Lifecycle, LifecycleAction, Phase, Progress};
 use corianderworks_decision::ids::{DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use corianderworks_decision::membership::{
-    Action as MemberAction, Event as MemberEvent, ListedVm, MemberState, Membership, TICK,
+    Action as MemberAction, Event as MemberEvent, ListedVm, MemberState, Membership,
 };
 use corianderworks_decision::versions::{Source, VersionAction, VersionEvent, Versions, readers};
 use corianderworks_lists::settings::{Balance, Prefer, Settings};
@@ -48,7 +48,7 @@
 
 /// Input of the control loop.
 pub enum ControlEvent {
-    /// Time passes; sent every [`TICK`] or more often.
+    /// Time passes.
     Tick,
     /// A datagram arrived.
     Datagram {
@@ -222,7 +222,10 @@
             ControlEvent::Datagram { from, datagram } => self.take_datagram(now, from, datagram),
             ControlEvent::Vms(vms) => self.take_vms(now, vms),
             ControlEvent::PlatformVersion(version) => {
-                let heard = VersionEvent::Heard { version, source: Source::Platform };
+                let heard = VersionEvent::Heard {
+                    version,
+                    source: Source::Platform,
+                };
                 self.take_version(now, heard);
             }
             ControlEvent::Fetched { source, result } => self.take_fetched(now, source, result),
@@ -263,24 +266,28 @@
     fn take_datagram(&mut self, now: Duration, from: SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::LoadReport(load) => {
-                self.parts.entry.note_load(
-                    load.from,
-                    load.service,
-                    load.free_slots,
-                    load.queued,
-                );
+                self.parts
+                    .entry
+                    .note_load(load.from, load.service, load.free_slots, load.queued);
             }
             Datagram::Evidence(Evidence { service, report }) => {
                 if let Some(home) = self.parts.homes.get(service) {
                     home.drive(|d, now| d.peer_evidence(now, report.from.daemon, report));
                 }
             }
-            Datagram::Announce(Announce { service, announcement }) => {
+            Datagram::Announce(Announce {
+                service,
+                announcement,
+            }) => {
                 if let Some(home) = self.parts.homes.get(service) {
                     home.drive(|d, now| d.announcement(now, announcement));
                 }
             }
-            Datagram::AskEject(AskEject { from, service, upstream }) => {
+            Datagram::AskEject(AskEject {
+                from,
+                service,
+                upstream,
+            }) => {
                 if let Some(home) = self.parts.homes.get(service) {
                     home.drive(|d, now| d.eject_request(now, from, upstream));
                 }
@@ -300,7 +307,10 @@
             match action {
                 MemberAction::Send { to, message } => self.send(to, &message.into()),
                 MemberAction::Changed { run, from, to } => {
-                    let name = self.membership.member(run.daemon).map(|m| m.record.name.clone());
+                    let name = self
+                        .membership
+                        .member(run.daemon)
+                        .map(|m| m.record.name.clone());
                     let name = name.unwrap_or_default();
                     tracing::info!("member: {name} is {to:?}, was {from:?}");
                 }
@@ -309,10 +319,21 @@
                     released.push(run);
                     self.parts.shared.released.store(Arc::new(released));
                 }
-                MemberAction::NewerVersion { version, holder, address } => {
-                    let source = Source::Peer { run: holder, address };
+                MemberAction::NewerVersion {
+                    version,
+                    holder,
+                    address,
+                } => {
+                    let source = Source::Peer {
+                        run: holder,
+                        address,
+                    };
                     self.take_version(now, VersionEvent::Heard { version, source });
                 }
+                MemberAction::Superseded(run) => {
+                    tracing::error!("member: {run} runs under this name; this run stops");
+                    self.stop_asked = true;
+                }
                 MemberAction::ListedLeaving => {
                     tracing::info!("control: the VM list shows this VM as leaving");
                     self.stop_asked = true;
@@ -338,7 +359,9 @@
     }
 
     fn start_fetch(&self, source: Source) {
-        let Some(control) = self.control.clone() else { return };
+        let Some(control) = self.control.clone() else {
+            return;
+        };
         let peers = self.parts.peers.clone();
         let platform = self.parts.platform.clone();
         let known = self.parts.shared.stored.load_full();
@@ -352,12 +375,7 @@
         });
     }
 
-    fn take_fetched(
-        &mut self,
-        now: Duration,
-        source: Source,
-        result: Result<Stored, FetchError>,
-    ) {
+    fn take_fetched(&mut self, now: Duration, source: Source, result: Result<Stored, FetchError>) {
         let stored = match result {
             Ok(stored) => stored,
             Err(error) => {
@@ -379,7 +397,9 @@
         self.table = Arc::new(Table::new(version, &snapshot.customers, &snapshot.plans));
         self.parts.shared.stored.store(Arc::new(stored));
         tracing::info!("config: version {version} is in force");
-        let actions = self.membership.handle(now, MemberEvent::ConfigVersion(version));
+        let actions = self
+            .membership
+            .handle(now, MemberEvent::ConfigVersion(version));
         self.take_member_actions(now, actions);
         self.refresh(now);
     }
@@ -417,7 +437,12 @@
             };
             let gone = self.gone.entry(service.clone()).or_default();
             gone.retain(|(b, since)| !is_listed(b) && now.saturating_sub(*since) < GONE_KEPT);
-            gone.extend(before.iter().filter(|b| !is_listed(b)).map(|b| (b.clone(), now)));
+            gone.extend(
+                before
+                    .iter()
+                    .filter(|b| !is_listed(b))
+                    .map(|b| (b.clone(), now)),
+            );
         }
     }
 
@@ -434,16 +459,24 @@
         let view = View::new(self.table.clone(), members, &listed);
         let candidates = self.membership.candidates();
         let is_reader = readers(&candidates).contains(&self.me().daemon);
-        self.parts.shared.is_reader.store(is_reader, Ordering::Relaxed);
+        self.parts
+            .shared
+            .is_reader
+            .store(is_reader, Ordering::Relaxed);
         for (name, service) in &view.table.services {
             let key = ServiceKey::of(name);
-            let Some(place) = view.places.get(&key) else { continue };
+            let Some(place) = view.places.get(&key) else {
+                continue;
+            };
             let home = self.home_of(key, place, service.floor_percent);
             let Some(home) = home else { continue };
             let gone = self.gone.get(name).map(Vec::as_slice).unwrap_or_default();
             let views = self.upstream_views(place, service.slots, gone, now);
-            let addresses =
-                place.backends.iter().map(|(b, _)| (b.upstream, b.address)).collect();
+            let addresses = place
+                .backends
+                .iter()
+                .map(|(b, _)| (b.upstream, b.address))
+                .collect();
             home.set_addresses(addresses);
             home.drive(|dispatcher, now| dispatcher.set_upstreams(now, &views));
         }
@@ -495,7 +528,10 @@
         let live = place.backends.iter().map(|(backend, owners)| {
             let share = owners.and_then(|owners| owners.share(me));
             let co_owner = owners.and_then(|owners| {
-                [Some(owners.first), owners.second].into_iter().flatten().find(|d| *d != me)
+                [Some(owners.first), owners.second]
+                    .into_iter()
+                    .flatten()
+                    .find(|d| *d != me)
             });
             let state = match backend.state {
                 BackendState::Live => UpstreamState::Live,
@@ -551,12 +587,19 @@
         let HomeEvent { service, action } = event;
         match action {
             HomeAction::Announce(announcement) => {
-                let message = Datagram::Announce(Announce { service, announcement });
+                let message = Datagram::Announce(Announce {
+                    service,
+                    announcement,
+                });
                 self.send_to_homes(service, &message);
             }
             HomeAction::AskEject { holder, upstream } => {
                 let from = self.me().daemon;
-                let message = Datagram::AskEject(AskEject { from, service, upstream });
+                let message = Datagram::AskEject(AskEject {
+                    from,
+                    service,
+                    upstream,
+                });
                 match holder.and_then(|holder| self.peer_address(holder)) {
                     Some(address) => self.send(address, &message),
                     None => self.send_to_homes(service, &message),
@@ -579,14 +622,24 @@
     fn upstream_name(&self, service: ServiceKey, upstream: UpstreamKey) -> Arc<str> {
         let view = self.parts.shared.view.load();
         let found = view.places.get(&service).and_then(|place| {
-            place.backends.iter().find(|(backend, _)| backend.upstream == upstream)
+            place
+                .backends
+                .iter()
+                .find(|(backend, _)| backend.upstream == upstream)
         });
-        found.map_or_else(|| "a former upstream".into(), |(backend, _)| backend.name.clone())
+        found.map_or_else(
+            || "a former upstream".into(),
+            |(backend, _)| backend.name.clone(),
+        )
     }
 
     fn probe(&self, service: ServiceKey, upstream: UpstreamKey) {
-        let Some(home) = self.parts.homes.get(service) else { return };
-        let Some(address) = home.address(upstream) else { return };
+        let Some(home) = self.parts.homes.get(service) else {
+            return;
+        };
+        let Some(address) = home.address(upstream) else {
+            return;
+        };
         tokio::spawn(async move {
             let ok = crate::upstream::probe(address).await;
             home.read(|dispatcher, now| dispatcher.probe_result(now, upstream, ok));
@@ -599,7 +652,9 @@
             if !place.is_home(self.me().daemon) {
                 continue;
             }
-            let Some(home) = self.parts.homes.get(service) else { continue };
+            let Some(home) = self.parts.homes.get(service) else {
+                continue;
+            };
             if let Some(report) = home.read(|dispatcher, now| dispatcher.evidence(now)) {
                 self.send_to_homes(service, &Datagram::Evidence(Evidence { service, report }));
             }
@@ -608,7 +663,9 @@
 
     fn send_to_homes(&self, service: ServiceKey, message: &Datagram) {
         let view = self.parts.shared.view.load();
-        let Some(place) = view.places.get(&service) else { return };
+        let Some(place) = view.places.get(&service) else {
+            return;
+        };
         for &home in place.homes.iter().filter(|home| **home != self.me().daemon) {
             if let Some(address) = self.peer_address(home) {
                 self.send(address, message);
@@ -634,7 +691,9 @@
     }
 
     fn poll_lifecycle(&mut self, now: Duration) {
-        let Some(lifecycle) = self.lifecycle.take() else { return };
+        let Some(lifecycle) = self.lifecycle.take() else {
+            return;
+        };
         let knows_backends = !self.listed.is_empty();
         if !knows_backends {
             self.ask_vms();
@@ -670,9 +729,17 @@
 
     /// Asks some member for the VM list, for a start while the platform is down.
     fn ask_vms(&mut self) {
-        let Some(control) = self.control.clone() else { return };
-        let address = self.membership.members().next().map(|m| m.record.peer_address);
-        let Some(address) = address.filter(|_| !self.vms_asked) else { return };
+        let Some(control) = self.control.clone() else {
+            return;
+        };
+        let address = self
+            .membership
+            .members()
+            .next()
+            .map(|m| m.record.peer_address);
+        let Some(address) = address.filter(|_| !self.vms_asked) else {
+            return;
+        };
         self.vms_asked = true;
         let peers = self.parts.peers.clone();
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/corianderworks/src/fleet.rs
@@ -0,0 +1,326 @@
+//! A whole deployment in one process: stand-ins of the outside systems and real daemons.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use corianderworks_lists::chunk;
+use corianderworks_lists::lists::{Customer, Customers, Plan, Plans, Route, Service};
+use corianderworks_lists::manifest::{AuditRecord, MANIFEST_PATH, Manifest};
+use corianderworks_lists::settings::{Balance, Limits, LogFormat, Prefer, Settings};
+use corianderworks_standin::backend::{BackendSettings, BackendStandIn};
+use corianderworks_standin::platform::{PlatformSettings, PlatformStandIn, Vm, VmKind, VmState};
+use thiserror::Error;
+
+use crate::daemon::{Daemon, DaemonError};
+use crate::tls::{Authority, KeyError};
+
+/// Why a fleet can't be started.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// A stand-in failed to start.
+    #[error("a stand-in failed to start: {0}")]
+    StandIn(#[from] std::io::Error),
+    /// A daemon failed to start.
+    #[error(transparent)]
+    Daemon(#[from] DaemonError),
+    /// Keys could not be made.
+    #[error(transparent)]
+    Keys(#[from] KeyError),
+}
+
+/// A service of a deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct ServiceSpec {
+    /// Name of the service.
+    pub name: &'static str,
+    /// Number of backend servers.
+    pub upstreams: usize,
+    /// Whether it has a route whose requests must run at most once.
+    pub has_orders: bool,
+}
+
+/// A deployment.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Region.
+    pub region: &'static str,
+    /// Failure domains.
+    pub domains: &'static [&'static str],
+    /// Services.
+    pub services: &'static [ServiceSpec],
+    /// Slots of a backend server.
+    pub slots: u32,
+    /// What ejection weighs more.
+    pub prefer: Prefer,
+}
+
+const fn service(name: &'static str, upstreams: usize, has_orders: bool) -> ServiceSpec {
+    ServiceSpec {
+        name,
+        upstreams,
+        has_orders,
+    }
+}
+
+const EE_NORTH_SERVICES: [ServiceSpec; 4] = [
+    service("stock", 8, false),
+    service("ordering", 11, true),
+    service("refill-points", 8, false),
+    service("delivery-history", 8, false),
+];
+
+const TH_CENTRAL_SERVICES: [ServiceSpec; 4] = [
+    service("timber-grades", 8, false),
+    service("fee-ledger", 10, true),
+    service("drawing-archive", 9, false),
+    service("apiary-sites", 8, false),
+];
+
+/// Deployment of the Agency.
+pub fn ee_north() -> Deployment {
+    Deployment {
+        region: "ee-north",
+        domains: &["tallinn-a", "tallinn-b", "maardu", "keila"],
+        services: &EE_NORTH_SERVICES,
+        slots: 2,
+        prefer: Prefer::Detection,
+    }
+}
+
+/// Deployment of the Association.
+pub fn th_central() -> Deployment {
+    Deployment {
+        region: "th-central",
+        domains: &["a", "b", "c", "d"],
+        services: &TH_CENTRAL_SERVICES,
+        slots: 4,
+        prefer: Prefer::Stability,
+    }
+}
+
+/// A backend server of a fleet.
+pub struct FleetBackend {
+    /// Service.
+    pub service: &'static str,
+    /// Entry in the VM list.
+    pub vm: Vm,
+    /// Stand-in.
+    pub stand_in: BackendStandIn,
+}
+
+/// A whole deployment in one process.
+pub struct Fleet {
+    /// What is deployed.
+    pub deployment: Deployment,
+    /// Platform.
+    pub platform: PlatformStandIn,
+    /// Backend servers.
+    pub backends: Vec<FleetBackend>,
+    /// Daemons with their VMs.
+    pub daemons: Vec<(Vm, Daemon)>,
+    /// Time that callers keep an address response, in seconds.
+    pub keep_s: u32,
+    authority: Authority,
+    customers: Customers,
+    plans: Plans,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and writes the first version of the lists.
+    pub async fn start(
+        deployment: Deployment,
+        backend: BackendSettings,
+        customers: usize,
+    ) -> Result<Self, FleetError> {
+        let platform = PlatformStandIn::start(any_port(), PlatformSettings::default()).await?;
+        let mut backends = Vec::new();
+        for spec in deployment.services {
+            for number in 0..spec.upstreams {
+                let name = format!("{}-{number}", spec.name);
+                let settings = BackendSettings {
+                    name: name.clone(),
+                    slots: deployment.slots as usize,
+                    seed: backends.len() as u64,
+                    ..backend.clone()
+                };
+                let stand_in = BackendStandIn::start(any_port(), settings).await?;
+                let vm = Vm {
+                    name,
+                    address: stand_in.address(),
+                    region: deployment.region.to_owned(),
+                    domain: deployment.domains[number % deployment.domains.len()].to_owned(),
+                    state: VmState::Live,
+                    kind: VmKind::Backend,
+                    service: Some(spec.name.to_owned()),
+                };
+                backends.push(FleetBackend {
+                    service: spec.name,
+                    vm,
+                    stand_in,
+                });
+            }
+        }
+        let customers = customer_list(customers);
+        let plans = plan_list(&deployment);
+        let fleet = Self {
+            deployment,
+            platform,
+            backends,
+            daemons: Vec::new(),
+            keep_s: 2,
+            authority: Authority::new()?,
+            customers,
+            plans,
+        };
+        fleet.write_lists(1);
+        fleet.publish_vms();
+        Ok(fleet)
+    }
+
+    /// Starts daemons, spread over the failure domains.
+    pub async fn add_daemons(&mut self, count: usize) -> Result<(), FleetError> {
+        for _ in 0..count {
+            self.add_daemon().await?;
+        }
+        self.publish_vms();
+        Ok(())
+    }
+
+    /// Starts one daemon without publishing it in the VM list.
+    pub async fn add_daemon(&mut self) -> Result<usize, FleetError> {
+        let index = self.daemons.len();
+        let name = format!("entry-{index}");
+        let settings = self.settings(&name, index)?;
+        let domain = settings.domain.clone();
+        let daemon = Daemon::start(settings).await?;
+        let vm = Vm {
+            name,
+            address: daemon.peer_address,
+            region: self.deployment.region.to_owned(),
+            domain,
+            state: VmState::Live,
+            kind: VmKind::Daemon,
+            service: None,
+        };
+        self.daemons.push((vm, daemon));
+        Ok(index)
+    }
+
+    /// Settings of a daemon.
+    pub fn settings(&self, name: &str, index: usize) -> Result<Settings, FleetError> {
+        let seeds = self
+            .daemons
+            .iter()
+            .take(3)
+            .map(|(_, daemon)| daemon.peer_address)
+            .collect();
+        let domains = self.deployment.domains;
+        Ok(Settings {
+            name: name.to_owned(),
+            region: self.deployment.region.to_owned(),
+            domain: domains[index % domains.len()].to_owned(),
+            http_address: any_port(),
+            peer_address: any_port(),
+            platform_address: self.platform.address(),
+            seeds,
+            tls: self.authority.issue(name)?,
+            prefer: self.deployment.prefer,
+            keep_s: self.keep_s,
+            limits: Limits::default(),
+            log: LogFormat::Text,
+            balance: Balance::Owners,
+            outbound_ip: None,
+        })
+    }
+
+    /// Publishes all VMs in the VM list.
+    pub fn publish_vms(&self) {
+        let daemons = self.daemons.iter().map(|(vm, _)| vm.clone());
+        let backends = self.backends.iter().map(|backend| backend.vm.clone());
+        self.platform.set_vms(daemons.chain(backends).collect());
+    }
+
+    /// Writes a version of the lists into the platform, past the operator's command.
+    pub fn write_lists(&self, version: u64) {
+        let (contents, chunks) = chunk::split(&self.customers, &self.plans, version, None);
+        for chunk in chunks {
+            self.platform.write(&chunk.hash.path(), chunk.bytes);
+        }
+        let record = AuditRecord {
+            from_version: version - 1,
+            to_version: version,
+            change_id: format!("fleet-{version}"),
+            who: "fleet".to_owned(),
+            when: jiff::Timestamp::now(),
+            reason: "first lists".to_owned(),
+            summary: Vec::new(),
+        };
+        let manifest = Manifest::next(None, contents, record);
+        self.platform.write(MANIFEST_PATH, manifest.to_bytes());
+    }
+
+    /// Names of the customers.
+    pub fn customer_names(&self) -> Vec<String> {
+        self.customers.customers.keys().cloned().collect()
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn customer_list(count: usize) -> Customers {
+    let customers = (0..count).map(|number| {
+        let plan = if number % 4 == 0 { "depot" } else { "school" };
+        (
+            format!("customer-{number}"),
+            Customer {
+                plan: plan.to_owned(),
+            },
+        )
+    });
+    Customers {
+        customers: customers.collect(),
+    }
+}
+
+fn plan_list(deployment: &Deployment) -> Plans {
+    let route = |methods: &[&str], path: String, idempotent| Route {
+        methods: methods.iter().map(|m| (*m).to_owned()).collect(),
+        path,
+        idempotent,
+        timeout_ms: 3_000,
+    };
+    let services = deployment.services.iter().map(|spec| {
+        let mut routes = std::collections::BTreeMap::new();
+        let read = route(&["GET"], format!("/{}", spec.name), true);
+        routes.insert("read".to_owned(), read);
+        if spec.has_orders {
+            let order = route(&["POST"], format!("/{}/orders", spec.name), false);
+            routes.insert("order".to_owned(), order);
+        }
+        let service = Service {
+            slots: deployment.slots,
+            floor_percent: 70,
+            routes,
+        };
+        (spec.name.to_owned(), service)
+    });
+    let all = |spec: &ServiceSpec| (spec.name.to_owned(), vec!["*".to_owned()]);
+    let plan = |priority, rate_per_s, concurrency| Plan {
+        priority,
+        rate_per_s,
+        concurrency,
+        uses: deployment.services.iter().map(all).collect(),
+    };
+    let plans = [
+        ("depot", plan(2, 2_000, 200)),
+        ("school", plan(1, 2_000, 200)),
+    ];
+    Plans {
+        services: services.collect(),
+        plans: plans
+            .into_iter()
+            .map(|(name, plan)| (name.to_owned(), plan))
+            .collect(),
+    }
+}
--- a/crates/corianderworks/src/headers.rs
+++ b/crates/corianderworks/src/headers.rs
@@ -26,8 +26,15 @@
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Fields that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] =
-    [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+const HOP_BY_HOP: [HeaderName; 7] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
 
 /// Why the header fields of a request are refused.
 #[derive(Debug, Clone, Copy, Error, PartialEq, Eq)]
@@ -73,11 +80,16 @@
     label: &'static str,
 ) -> Result<Option<&'h str>, HeaderError> {
     let mut values = headers.get_all(name).iter();
-    let Some(first) = values.next() else { return Ok(None) };
+    let Some(first) = values.next() else {
+        return Ok(None);
+    };
     if values.next().is_some() {
         return Err(HeaderError::Repeated(label));
     }
-    first.to_str().map(Some).map_err(|_| HeaderError::Number(label))
+    first
+        .to_str()
+        .map(Some)
+        .map_err(|_| HeaderError::Number(label))
 }
 
 /// Removes the fields that concern one connection only.
@@ -119,7 +131,12 @@
 pub fn to_fields(headers: &HeaderMap) -> Vec<(String, Bytes)> {
     headers
         .iter()
-        .map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())))
+        .map(|(name, value)| {
+            (
+                name.as_str().to_owned(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        })
         .collect()
 }
 
@@ -128,7 +145,10 @@
     fields
         .into_iter()
         .filter_map(|(name, value)| {
-            Some((name.parse::<HeaderName>().ok()?, HeaderValue::from_maybe_shared(value).ok()?))
+            Some((
+                name.parse::<HeaderName>().ok()?,
+                HeaderValue::from_maybe_shared(value).ok()?,
+            ))
         })
         .collect()
 }
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -65,7 +65,11 @@
 enum Step {
     Reply(Reply),
     /// The exchange failed; the request can be sent again when this allows it.
-    Failed { outcome: Outcome, again: Option<Job>, otherwise: Reply },
+    Failed {
+        outcome: Outcome,
+        again: Option<Box<Job>>,
+        otherwise: Reply,
+    },
 }
 
 impl<C> Home<C>
@@ -146,11 +150,15 @@
             let upstream = guard.upstream();
             match self.exchange_hedged(guard, job, &request).await {
                 Step::Reply(reply) => return reply,
-                Step::Failed { outcome, again, otherwise } => {
+                Step::Failed {
+                    outcome,
+                    again,
+                    otherwise,
+                } => {
                     let may =
                         self.read(|dispatcher, now| dispatcher.may_retry(now, &request, outcome));
                     match (may, again) {
-                        (Retry::Retry, Some(again)) => job = again,
+                        (Retry::Retry, Some(again)) => job = *again,
                         _ => return otherwise,
                     }
                     request.tried.push(upstream);
@@ -160,10 +168,7 @@
     }
 
     /// Waits for a slot until the deadline.
-    async fn acquire(
-        self: &Arc<Self>,
-        request: &RequestView,
-    ) -> Result<LeaseGuard<C>, Refusal> {
+    async fn acquire(self: &Arc<Self>, request: &RequestView) -> Result<LeaseGuard<C>, Refusal> {
         let (sender, receiver) = oneshot::channel();
         {
             let now = self.clock.now();
@@ -174,7 +179,10 @@
                 Admit::Wait => state.waiting.insert(request.ticket, sender),
             };
         }
-        let _forget = WaitGuard { home: self.clone(), ticket: request.ticket };
+        let _forget = WaitGuard {
+            home: self.clone(),
+            ticket: request.ticket,
+        };
         match receiver.await {
             Ok(Granted::Run(lease)) => Ok(self.guard(&mut self.state.lock(), lease)),
             Ok(Granted::Refused(reason)) => Err(refuse(reason)),
@@ -185,7 +193,12 @@
     fn guard(self: &Arc<Self>, state: &mut HomeState, lease: Lease) -> LeaseGuard<C> {
         let abandon = state.running.entry(lease).or_default().clone();
         let started = self.clock.now();
-        LeaseGuard { home: self.clone(), lease: Some(lease), abandon, started }
+        LeaseGuard {
+            home: self.clone(),
+            lease: Some(lease),
+            abandon,
+            started,
+        }
     }
 
     /// Exchanges a request, with a second attempt beside it when the first is late.
@@ -199,8 +212,13 @@
             true => self.read(|dispatcher, now| dispatcher.hedge_after(now, request)),
             false => None,
         };
-        let Some(hedge_after) = hedge_after else { return self.exchange(guard, job).await };
-        let copy = Job { head: job.head.clone(), body: body::empty() };
+        let Some(hedge_after) = hedge_after else {
+            return self.exchange(guard, job).await;
+        };
+        let copy = Job {
+            head: job.head.clone(),
+            body: body::empty(),
+        };
         let mut tried = request.clone();
         tried.tried.push(guard.upstream());
         let mut first = Box::pin(self.exchange(guard, job));
@@ -215,7 +233,9 @@
             let lease = state.dispatcher.admit_hedge(now, &tried);
             lease.map(|lease| self.guard(&mut state, lease))
         };
-        let Some(second) = lease else { return first.await };
+        let Some(second) = lease else {
+            return first.await;
+        };
         let mut second = Box::pin(self.exchange(second, copy));
         tokio::select! {
             step = &mut first => match step {
@@ -233,10 +253,17 @@
     async fn exchange(self: &Arc<Self>, guard: LeaseGuard<C>, job: Job) -> Step {
         let Job { head, body } = job;
         let replay = body.is_end_stream().then(|| head.clone());
-        let replay = || replay.map(|head| Job { head, body: body::empty() });
+        let replay = || {
+            replay.map(|head| {
+                Box::new(Job {
+                    head,
+                    body: body::empty(),
+                })
+            })
+        };
         let unsent = |again| Step::Failed {
             outcome: Outcome::ConnectFailed,
-            again: Some(again),
+            again: Some(Box::new(again)),
             otherwise: Err(Refusal::not_run(Reason::Unavailable)),
         };
         let Some(address) = self.address(guard.upstream()) else {
@@ -272,19 +299,36 @@
                 guard.finish(Outcome::Stalled { latency });
                 self.drive(|d, now| d.silent_connection(now, upstream, born));
                 let otherwise = Err(Refusal::unknown(Reason::Deadline));
-                Step::Failed { outcome: Outcome::Stalled { latency }, again: replay(), otherwise }
+                Step::Failed {
+                    outcome: Outcome::Stalled { latency },
+                    again: replay(),
+                    otherwise,
+                }
             }
-            Some(Err(Failed { unsent: Some(request), .. })) => {
+            Some(Err(Failed {
+                unsent: Some(request),
+                ..
+            })) => {
                 // An idle connection that the backend server closed is no fault of its own.
                 guard.finish(Outcome::Cancelled { latency });
-                unsent(Job { head, body: request.into_body() })
+                unsent(Job {
+                    head,
+                    body: request.into_body(),
+                })
             }
-            Some(Err(Failed { error, unsent: None })) => {
+            Some(Err(Failed {
+                error,
+                unsent: None,
+            })) => {
                 tracing::debug!("upstream: {error}");
                 let outcome = Outcome::Truncated { latency };
                 guard.finish(outcome);
                 let otherwise = Err(Refusal::unknown(Reason::BackendFailed));
-                Step::Failed { outcome, again: replay(), otherwise }
+                Step::Failed {
+                    outcome,
+                    again: replay(),
+                    otherwise,
+                }
             }
             Some(Ok(response)) => self.take_response(guard, checkout, response, latency, replay()),
         }
@@ -296,7 +340,7 @@
         checkout: Checkout<C>,
         response: Response<Incoming>,
         latency: Duration,
-        again: Option<Job>,
+        again: Option<Box<Job>>,
     ) -> Step {
         let status = response.status();
         let drains = response.headers().contains_key(headers::DRAIN);
@@ -305,16 +349,27 @@
             let outcome = Outcome::NotRun { latency };
             guard.finish(outcome);
             let otherwise = Err(Refusal::not_run(Reason::Overload));
-            return Step::Failed { outcome, again, otherwise };
+            return Step::Failed {
+                outcome,
+                again,
+                otherwise,
+            };
         }
         if is_server_fault(status) {
-            let outcome = Outcome::Error { status: status.as_u16(), latency };
+            let outcome = Outcome::Error {
+                status: status.as_u16(),
+                latency,
+            };
             guard.finish(outcome);
             // Without a retry the caller gets the backend server's own words.
             let (parts, incoming) = self.prepare(response);
             let watched = Watched::new(body::incoming(incoming), move |_| drop(checkout));
             let otherwise = Ok(Response::from_parts(parts, watched.boxed_unsync()));
-            return Step::Failed { outcome, again, otherwise };
+            return Step::Failed {
+                outcome,
+                again,
+                otherwise,
+            };
         }
         let (parts, incoming) = self.prepare(response);
         let watched = Watched::new(body::incoming(incoming), move |end| {
@@ -353,7 +408,9 @@
                     let waiter = state.waiting.remove(&ticket);
                     let unused = waiter.map(|sender| sender.send(Granted::Run(lease)));
                     if !matches!(unused, Some(Ok(()))) {
-                        let outcome = Outcome::Cancelled { latency: Duration::ZERO };
+                        let outcome = Outcome::Cancelled {
+                            latency: Duration::ZERO,
+                        };
                         let now = self.clock.now();
                         actions.extend(state.dispatcher.finish(now, lease, outcome));
                     }
@@ -368,11 +425,17 @@
                         abandon.notify_one();
                     }
                 }
-                Action::RetireConnections { upstream, opened_until } => {
+                Action::RetireConnections {
+                    upstream,
+                    opened_until,
+                } => {
                     self.upstreams.retire(upstream, opened_until);
                 }
                 action => {
-                    let _ = self.events.send(HomeEvent { service: self.service, action });
+                    let _ = self.events.send(HomeEvent {
+                        service: self.service,
+                        action,
+                    });
                 }
             }
         }
@@ -455,7 +518,9 @@
     C: Clock,
 {
     fn default() -> Self {
-        Self { homes: Mutex::default() }
+        Self {
+            homes: Mutex::default(),
+        }
     }
 }
 
@@ -478,7 +543,11 @@
     where
         F: FnOnce() -> Arc<Home<C>>,
     {
-        self.homes.lock().entry(service).or_insert_with(create).clone()
+        self.homes
+            .lock()
+            .entry(service)
+            .or_insert_with(create)
+            .clone()
     }
 
     /// Runs a job at the home of its service.
@@ -516,6 +585,8 @@
     *request.uri_mut() = head.target.clone().into();
     *request.headers_mut() = head.headers.clone();
     let left_ms = left.as_millis() as u64;
-    request.headers_mut().insert(headers::DEADLINE_MS, HeaderValue::from(left_ms));
+    request
+        .headers_mut()
+        .insert(headers::DEADLINE_MS, HeaderValue::from(left_ms));
     request
 }
--- a/crates/corianderworks/src/kernel.rs
+++ b/crates/corianderworks/src/kernel.rs
@@ -29,7 +29,9 @@
 impl Kernel {
     /// Creates the name space of a daemon.
     pub fn new(daemon: &str) -> Self {
-        Self { daemon: daemon.into() }
+        Self {
+            daemon: daemon.into(),
+        }
     }
 
     /// Registers a service.
@@ -38,7 +40,9 @@
         A: Actor,
     {
         let full = self.full_name(name);
-        service.register(full.clone()).map_err(|_| KernelError::Taken(full))
+        service
+            .register(full.clone())
+            .map_err(|_| KernelError::Taken(full))
     }
 
     /// Finds a service.
--- /dev/null
+++ b/crates/corianderworks/src/lib.rs
@@ -0,0 +1,30 @@
+//! Daemon, operator commands and measurements of corianderworks.
+
+pub mod api;
+pub mod body;
+pub mod capacity;
+pub mod cli;
+pub mod commands;
+pub mod control;
+pub mod daemon;
+pub mod demo;
+pub mod experiment;
+pub mod fleet;
+pub mod grants;
+pub mod headers;
+pub mod home;
+pub mod job;
+pub mod kernel;
+pub mod keys;
+pub mod peer;
+pub mod peer_service;
+pub mod permits;
+pub mod platform;
+pub mod proxy;
+pub mod refusal;
+pub mod relay;
+pub mod store;
+pub mod telemetry;
+pub mod tls;
+pub mod upstream;
+pub mod view;
--- a/crates/corianderworks/src/main.rs
+++ b/crates/corianderworks/src/main.rs
@@ -1,29 +1,10 @@
 //! The corianderworks binary.
 
-mod api;
-mod body;
-mod capacity;
-mod cli;
-mod commands;
-mod control;
-mod daemon;
-mod demo;
-mod experiment;
-mod grants;
-mod headers;
-mod home;
-mod job;
-mod kernel;
-mod keys;
-mod peer;
-mod permits;
-mod platform;
-mod proxy;
-mod refusal;
-mod relay;
-mod store;
-mod telemetry;
-mod upstream;
-mod view;
+use std::process::ExitCode;
 
-fn main() {}
+fn main() -> ExitCode {
+    match std::env::args().nth(1).as_deref() {
+        Some("demo") => corianderworks::demo::main(),
+        _ => ExitCode::from(2),
+    }
+}
--- a/crates/corianderworks/src/peer.rs
+++ b/crates/corianderworks/src/peer.rs
@@ -96,7 +96,12 @@
         endpoint.set_default_client_config(keys.client()?);
         let (opened, receiver) = mpsc::unbounded_channel();
         let counts = PeerCounts::default();
-        let peers = Arc::new(Self { endpoint, slots: Mutex::default(), opened, counts });
+        let peers = Arc::new(Self {
+            endpoint,
+            slots: Mutex::default(),
+            opened,
+            counts,
+        });
         tokio::spawn(accept(peers.clone()));
         Ok((peers, receiver))
     }
@@ -140,7 +145,10 @@
 
     fn register(&self, connection: Connection) {
         let mut slots = self.slots.lock();
-        slots.entry(connection.remote_address()).or_default().connection = Some(connection.clone());
+        slots
+            .entry(connection.remote_address())
+            .or_default()
+            .connection = Some(connection.clone());
         drop(slots);
         let _ = self.opened.send(connection);
     }
@@ -148,15 +156,20 @@
     /// Opens a stream to a daemon.
     pub async fn open(&self, to: SocketAddr) -> Result<Channel, PeerError> {
         let connection = self.connection(to).await?;
-        let (send, recv) =
-            connection.open_bi().await.map_err(|e| PeerError::Lost(e.to_string()))?;
+        let (send, recv) = connection
+            .open_bi()
+            .await
+            .map_err(|e| PeerError::Lost(e.to_string()))?;
         Ok(Channel { send, recv })
     }
 
     /// Drops a connection on which nothing comes back, so that the next use sets up a new one.
     pub fn retire(&self, to: SocketAddr) {
-        let connection =
-            self.slots.lock().get_mut(&to).and_then(|slot| slot.connection.take());
+        let connection = self
+            .slots
+            .lock()
+            .get_mut(&to)
+            .and_then(|slot| slot.connection.take());
         if let Some(connection) = connection {
             connection.close(VarInt::from_u32(0), b"silent");
         }
@@ -165,17 +178,16 @@
     /// Sends a datagram, on a new connection when none is live.
     pub async fn send_datagram(&self, to: SocketAddr, bytes: Bytes) -> Result<(), PeerError> {
         let connection = self.connection(to).await?;
-        self.counts.datagram_bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        connection.send_datagram(bytes).map_err(|e| PeerError::Lost(e.to_string()))
+        self.counts
+            .datagram_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        connection
+            .send_datagram(bytes)
+            .map_err(|e| PeerError::Lost(e.to_string()))
     }
 
     /// Sends an ask on a stream of its own and waits for the answer.
-    pub async fn ask<Q, A>(
-        &self,
-        to: SocketAddr,
-        ask: &Q,
-        within: Duration,
-    ) -> Result<A, PeerError>
+    pub async fn ask<Q, A>(&self, to: SocketAddr, ask: &Q, within: Duration) -> Result<A, PeerError>
     where
         Q: Serialize,
         A: DeserializeOwned,
@@ -252,7 +264,9 @@
     M: Serialize,
 {
     let bytes = codec::encode_prefixed(message)?;
-    send.write_chunk(bytes).await.map_err(|e| PeerError::Lost(e.to_string()))
+    send.write_chunk(bytes)
+        .await
+        .map_err(|e| PeerError::Lost(e.to_string()))
 }
 
 /// Receives one message from a stream.
@@ -284,23 +298,27 @@
     fn parse(tls: &Tls) -> Result<Self, PeerError> {
         let mut authority = RootCertStore::empty();
         for certificate in CertificateDer::pem_slice_iter(tls.authority_pem.as_bytes()) {
-            authority.add(certificate.map_err(unusable)?).map_err(unusable)?;
+            authority
+                .add(certificate.map_err(unusable)?)
+                .map_err(unusable)?;
         }
         let chain = CertificateDer::pem_slice_iter(tls.certificate_pem.as_bytes())
             .collect::<Result<_, _>>()
             .map_err(unusable)?;
         let key = PrivateKeyDer::from_pem_slice(tls.key_pem.as_bytes()).map_err(unusable)?;
-        Ok(Self { authority: Arc::new(authority), chain, key })
+        Ok(Self {
+            authority: Arc::new(authority),
+            chain,
+            key,
+        })
     }
 
     fn server(&self) -> Result<quinn::ServerConfig, PeerError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let verifier = WebPkiClientVerifier::builder_with_provider(
-            self.authority.clone(),
-            provider.clone(),
-        )
-        .build()
-        .map_err(unusable)?;
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(self.authority.clone(), provider.clone())
+                .build()
+                .map_err(unusable)?;
         let config = rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(unusable)?
--- /dev/null
+++ b/crates/corianderworks/src/peer_service.rs
@@ -0,0 +1,134 @@
+//! Serves what other daemons ask for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use corianderworks_decision::clock::Clock;
+use corianderworks_lists::chunk::ChunkHash;
+use corianderworks_wire::codec;
+use corianderworks_wire::message::{Answer, Ask, Datagram, RelayHead, RelayPurpose};
+use kameo::actor::ActorRef;
+use quinn::{Connection, RecvStream, SendStream};
+use tokio::sync::mpsc;
+
+use crate::control::{Control, ControlEvent, Shared};
+use crate::job::JobHead;
+use crate::peer::{PeerError, recv_message, send_message};
+use crate::proxy::Entry;
+use crate::refusal::{Reason, Refusal};
+use crate::relay;
+use crate::store;
+
+/// Serves what other daemons ask for.
+pub struct PeerService<C>
+where
+    C: Clock,
+{
+    /// Entry of this daemon, which also counts relayed requests as in flight.
+    pub entry: Arc<Entry<C>>,
+    /// What the control loop knows.
+    pub shared: Arc<Shared>,
+    /// Control loop, for datagrams.
+    pub control: ActorRef<Control<C>>,
+}
+
+impl<C> PeerService<C>
+where
+    C: Clock,
+{
+    /// Serves all connections until the socket is closed.
+    pub async fn run(self: Arc<Self>, mut opened: mpsc::UnboundedReceiver<Connection>) {
+        while let Some(connection) = opened.recv().await {
+            let service = self.clone();
+            tokio::spawn(async move { service.serve(connection).await });
+        }
+    }
+
+    async fn serve(self: Arc<Self>, connection: Connection) {
+        let from = connection.remote_address();
+        loop {
+            tokio::select! {
+                datagram = connection.read_datagram() => match datagram {
+                    Ok(bytes) => self.take_datagram(from, &bytes).await,
+                    Err(_) => return,
+                },
+                stream = connection.accept_bi() => match stream {
+                    Ok((send, recv)) => {
+                        let service = self.clone();
+                        tokio::spawn(async move {
+                            if let Err(error) = service.answer(send, recv).await {
+                                tracing::debug!("peer: a stream from {from} failed: {error}");
+                            }
+                        });
+                    }
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    async fn take_datagram(&self, from: SocketAddr, bytes: &[u8]) {
+        match codec::decode::<Datagram>(bytes) {
+            Ok(datagram) => {
+                let _ = self
+                    .control
+                    .tell(ControlEvent::Datagram { from, datagram })
+                    .await;
+            }
+            Err(error) => tracing::warn!("peer: a datagram from {from} is refused: {error}"),
+        }
+    }
+
+    async fn answer(&self, mut send: SendStream, mut recv: RecvStream) -> Result<(), PeerError> {
+        let answer = match recv_message(&mut recv).await? {
+            Ask::Relay(head) => return self.relay(head, send, recv).await,
+            Ask::Version => {
+                let manifest = self.shared.stored.load().manifest.clone();
+                Answer::Version((!manifest.is_empty()).then_some(manifest))
+            }
+            Ask::Chunk(hash) => {
+                let stored = self.shared.stored.load();
+                Answer::Chunk(stored.chunks.get(&ChunkHash::from(hash)).cloned())
+            }
+            Ask::Vms(page) => Answer::Vms(store::vm_page(&self.shared.vms.load(), page)),
+            Ask::Grant(_) | Ask::Key(_) => return Err(PeerError::Ended),
+        };
+        send_message(&mut send, &answer).await?;
+        let _ = send.finish();
+        Ok(())
+    }
+
+    async fn relay(
+        &self,
+        head: RelayHead,
+        mut send: SendStream,
+        recv: RecvStream,
+    ) -> Result<(), PeerError> {
+        let request_id = head.request_id;
+        let purpose = head.purpose;
+        let _in_flight = self.entry.start_request();
+        let allows = self.shared.phase().allows();
+        let Some(head) = JobHead::from_relay(head, self.entry.parts.clock.now()) else {
+            let refusal = Err(Refusal::not_run(Reason::BadRequest("relay")));
+            return relay::send_reply(&mut send, request_id, refusal, (0, 0)).await;
+        };
+        let service = head.service_key();
+        let job = relay::read_job(head, recv);
+        let cancelled = relay::cancelled(&send);
+        let run = async {
+            match purpose {
+                _ if !allows.relayed_requests && !allows.caller_requests => {
+                    Err(Refusal::not_run(Reason::NotReady))
+                }
+                RelayPurpose::Dispatch => self.entry.parts.homes.run(job).await,
+                RelayPurpose::KeyOwner => self.entry.run(job).await,
+            }
+        };
+        let reply = tokio::select! {
+            reply = run => reply,
+            () = cancelled => return Ok(()),
+        };
+        let load = self.entry.parts.homes.load(service).unwrap_or((0, 0));
+        relay::send_reply(&mut send, request_id, reply, load).await
+    }
+}
--- a/crates/corianderworks/src/permits.rs
+++ b/crates/corianderworks/src/permits.rs
@@ -60,7 +60,9 @@
             let mut held = 0;
             for (name, entry) in &view.table.services {
                 let key = ServiceKey::of(name);
-                let Some(place) = view.places.get(&key) else { continue };
+                let Some(place) = view.places.get(&key) else {
+                    continue;
+                };
                 let known = ledgers.contains_key(&key);
                 if !known && !place.is_home(self.me.daemon) {
                     continue;
@@ -69,7 +71,8 @@
                 let upstreams = place.backends.len() as u32;
                 let count = permits::permit_count(upstreams, u32::from(entry.floor_percent));
                 let homes = if leaving { &[][..] } else { &place.homes[..] };
-                self.look(name, key, ledger, homes, if leaving { 0 } else { count }).await;
+                self.look(name, key, ledger, homes, if leaving { 0 } else { count })
+                    .await;
                 held += ledger.held().len() as u64;
             }
             self.held.store(held, Ordering::Relaxed);
@@ -90,7 +93,9 @@
         count: u32,
     ) {
         let path = format!("permits/{name}");
-        let Ok(object) = self.platform.read(&path).await else { return };
+        let Ok(object) = self.platform.read(&path).await else {
+            return;
+        };
         let version = object.as_ref().map_or(0, |object| object.version);
         let table: PermitTable = match &object {
             None => PermitTable::default(),
@@ -103,10 +108,13 @@
         let home = self.homes.get(key);
         let mut surplus = permits::surplus(&table, self.me, homes, count);
         surplus.retain(|permit| {
-            home.as_ref().is_none_or(|home| !home.read(|d, now| d.permit_in_use(now, *permit)))
+            home.as_ref()
+                .is_none_or(|home| !home.read(|d, now| d.permit_in_use(now, *permit)))
         });
         let next = if surplus.is_empty() {
-            permits::claim(&table, self.me, homes, count, |daemon| self.evidence(daemon))
+            permits::claim(&table, self.me, homes, count, |daemon| {
+                self.evidence(daemon)
+            })
         } else {
             ledger.returning(&surplus, version);
             // A returned permit must be out of use here before the write can reach the platform.
@@ -114,7 +122,8 @@
             permits::release(&table, self.me, &surplus)
         };
         if let Some(next) = next {
-            self.write(&path, object.is_some().then_some(version), next, ledger).await;
+            self.write(&path, object.is_some().then_some(version), next, ledger)
+                .await;
         }
         self.report(key, ledger);
     }
@@ -126,7 +135,9 @@
         table: PermitTable,
         ledger: &mut PermitLedger,
     ) {
-        let Ok(value) = serde_json::to_vec(&table) else { return };
+        let Ok(value) = serde_json::to_vec(&table) else {
+            return;
+        };
         let value = Bytes::from(value);
         let written = match version {
             Some(version) => self.platform.update(path, version, value).await,
@@ -139,13 +150,25 @@
     }
 
     fn report(&self, service: ServiceKey, ledger: &PermitLedger) {
-        let _ = self.events.send(PermitEvent { service, permits: ledger.held().to_vec() });
+        let _ = self.events.send(PermitEvent {
+            service,
+            permits: ledger.held().to_vec(),
+        });
     }
 
     fn evidence(&self, daemon: DaemonKey) -> VmEvidence {
         let released = self.shared.released.load();
         let gone = released.iter().any(|run| run.daemon == daemon);
-        let listed = self.shared.vms.load().iter().any(|vm| DaemonKey::of(&vm.name) == daemon);
-        if gone && !listed { VmEvidence::Gone } else { VmEvidence::Present }
+        let listed = self
+            .shared
+            .vms
+            .load()
+            .iter()
+            .any(|vm| DaemonKey::of(&vm.name) == daemon);
+        if gone && !listed {
+            VmEvidence::Gone
+        } else {
+            VmEvidence::Present
+        }
     }
 }
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -40,8 +40,8 @@
     at: Duration,
 }
 
-/// Entry of callers' requests.
-pub struct Entry<C>
+/// What an entry works with.
+pub struct EntryParts<C>
 where
     C: Clock,
 {
@@ -55,9 +55,21 @@
     pub peers: Arc<Peers>,
     /// Services that this daemon is a home of.
     pub homes: Arc<Homes<C>>,
-    limits: Limits,
-    balance: Balance,
-    via: HeaderValue,
+    /// Limits towards callers.
+    pub limits: Limits,
+    /// How upstreams are picked.
+    pub balance: Balance,
+    /// Value of `via`.
+    pub via: HeaderValue,
+}
+
+/// Entry of callers' requests.
+pub struct Entry<C>
+where
+    C: Clock,
+{
+    /// What it works with.
+    pub parts: EntryParts<C>,
     next_request: AtomicU64,
     in_flight: AtomicUsize,
     loads: Mutex<HashMap<(DaemonKey, ServiceKey), HomeLoad>>,
@@ -90,25 +102,9 @@
     C: Clock,
 {
     /// Creates an entry.
-    pub fn new(
-        me: DaemonRun,
-        clock: Arc<C>,
-        view: Arc<ArcSwap<View>>,
-        peers: Arc<Peers>,
-        homes: Arc<Homes<C>>,
-        limits: Limits,
-        balance: Balance,
-        via: HeaderValue,
-    ) -> Self {
+    pub fn new(parts: EntryParts<C>) -> Self {
         Self {
-            me,
-            clock,
-            view,
-            peers,
-            homes,
-            limits,
-            balance,
-            via,
+            parts,
             next_request: AtomicU64::new(1),
             in_flight: AtomicUsize::new(0),
             loads: Mutex::default(),
@@ -143,15 +139,20 @@
 
     /// Checks a request against the lists and turns it into a job.
     fn admit(&self, request: Request<Incoming>, caller: SocketAddr) -> Result<Job, Refusal> {
-        let view = self.view.load();
+        let view = self.parts.view.load();
         if view.table.version == 0 {
             return Err(Refusal::not_run(Reason::NotReady));
         }
         let (mut parts, body) = request.into_parts();
-        let head = self.check(&view, &mut parts, caller).map_err(Refusal::not_run)?;
-        let pause = Duration::from_millis(u64::from(self.limits.body_pause_ms));
-        let body = Guarded::new(body::incoming(body), self.limits.body_bytes, pause);
-        Ok(Job { head, body: body.boxed_unsync() })
+        let head = self
+            .check(&view, &mut parts, caller)
+            .map_err(Refusal::not_run)?;
+        let pause = Duration::from_millis(u64::from(self.parts.limits.body_pause_ms));
+        let body = Guarded::new(body::incoming(body), self.parts.limits.body_bytes, pause);
+        Ok(Job {
+            head,
+            body: body.boxed_unsync(),
+        })
     }
 
     fn check(
@@ -178,7 +179,11 @@
             .map(str::to_owned);
         let customer: Arc<str> = customer.into();
         let timeout = self.timeout(parts, route.timeout)?;
-        headers::prepare_request(&mut parts.headers, &self.via, &caller.ip().to_string());
+        headers::prepare_request(
+            &mut parts.headers,
+            &self.parts.via,
+            &caller.ip().to_string(),
+        );
         let slash = || PathAndQuery::from_static("/");
         Ok(JobHead {
             service: route.service.clone(),
@@ -189,7 +194,7 @@
             headers: std::mem::take(&mut parts.headers),
             idempotent: route.idempotent,
             priority: plan.priority,
-            deadline: self.clock.now() + timeout,
+            deadline: self.parts.clock.now() + timeout,
             key,
         })
     }
@@ -198,7 +203,9 @@
         let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
             .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
         let Some(text) = text else { return Ok(route) };
-        let left_ms: u64 = text.parse().map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+        let left_ms: u64 = text
+            .parse()
+            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
         Ok(route.min(Duration::from_millis(left_ms)))
     }
 
@@ -212,8 +219,8 @@
         let mut last = Refusal::not_run(Reason::Unavailable);
         for home in homes.into_iter().take(HOMES_PER_REQUEST) {
             let replay = Replay::of(&job);
-            let next = if home == self.me.daemon {
-                settle(self.homes.run(job).await, replay)
+            let next = if home == self.parts.me.daemon {
+                settle(self.parts.homes.run(job).await, replay)
             } else {
                 self.relay_to(home, job, replay).await
             };
@@ -233,10 +240,26 @@
         let request_id = self.next_request.fetch_add(1, Ordering::Relaxed);
         let service = job.head.service_key();
         let purpose = RelayPurpose::Dispatch;
-        let now = self.clock.now();
-        let address = self.view.load().member(home).map(|member| member.peer_address);
-        let Some(address) = address else { return Next::Again(job) };
-        let sent = relay::relay(&self.peers, address, job, request_id, self.me, purpose, now).await;
+        let now = self.parts.clock.now();
+        let address = self
+            .parts
+            .view
+            .load()
+            .member(home)
+            .map(|member| member.peer_address);
+        let Some(address) = address else {
+            return Next::Again(job);
+        };
+        let sent = relay::relay(
+            &self.parts.peers,
+            address,
+            job,
+            request_id,
+            self.parts.me,
+            purpose,
+            now,
+        )
+        .await;
         match sent {
             Ok(relayed) => {
                 self.note_load(home, service, relayed.free_slots, relayed.queued);
@@ -245,7 +268,7 @@
             Err(RelayError::NotSent(job, error)) => {
                 tracing::warn!("relay: {error}; trying another home");
                 self.note_load(home, service, 0, u16::MAX);
-                Next::Again(job)
+                Next::Again(*job)
             }
             Err(RelayError::Sent(error)) => {
                 tracing::warn!("relay: {error}; the request may have run");
@@ -260,26 +283,35 @@
 
     /// Records what a home said of its load.
     pub fn note_load(&self, home: DaemonKey, service: ServiceKey, free_slots: u16, queued: u16) {
-        let load = HomeLoad { free_slots, queued, at: self.clock.now() };
+        let load = HomeLoad {
+            free_slots,
+            queued,
+            at: self.parts.clock.now(),
+        };
         self.loads.lock().insert((home, service), load);
     }
 
     /// Orders the homes of a service: itself with a free slot, then by reported load.
     fn rank_homes(&self, service: ServiceKey) -> Vec<DaemonKey> {
-        if self.balance == Balance::Alone {
-            return vec![self.me.daemon];
+        if self.parts.balance == Balance::Alone {
+            return vec![self.parts.me.daemon];
         }
-        let view = self.view.load();
-        let Some(place) = view.places.get(&service) else { return Vec::new() };
-        let own = place.is_home(self.me.daemon).then(|| self.homes.load(service)).flatten();
-        let now = self.clock.now();
+        let view = self.parts.view.load();
+        let Some(place) = view.places.get(&service) else {
+            return Vec::new();
+        };
+        let own = place
+            .is_home(self.parts.me.daemon)
+            .then(|| self.parts.homes.load(service))
+            .flatten();
+        let now = self.parts.clock.now();
         let turn = self.next_request.fetch_add(1, Ordering::Relaxed);
         let loads = self.loads.lock();
         let mut ranked: Vec<(bool, i64, u64, DaemonKey)> = place
             .homes
             .iter()
             .map(|&home| {
-                let load = if home == self.me.daemon {
+                let load = if home == self.parts.me.daemon {
                     own
                 } else {
                     let known = loads.get(&(home, service));
@@ -288,9 +320,14 @@
                         .map(|load| (load.free_slots, load.queued))
                 };
                 let spare = load.map_or(1, |(free, queued)| i64::from(free) - i64::from(queued));
-                let relayed = home != self.me.daemon;
+                let relayed = home != self.parts.me.daemon;
                 let tie = corianderworks_decision::placement::weight(home, turn);
-                (spare <= 0, if relayed { -spare } else { i64::MIN }, tie, home)
+                (
+                    spare <= 0,
+                    if relayed { -spare } else { i64::MIN },
+                    tie,
+                    home,
+                )
             })
             .collect();
         ranked.sort_unstable();
@@ -313,15 +350,25 @@
         if !job.body.is_end_stream() {
             return Self::Never;
         }
-        let copy = Job { head: job.head.clone(), body: body::empty() };
-        if job.head.idempotent { Self::Idempotent(copy) } else { Self::IfNotRun(copy) }
+        let copy = Job {
+            head: job.head.clone(),
+            body: body::empty(),
+        };
+        if job.head.idempotent {
+            Self::Idempotent(copy)
+        } else {
+            Self::IfNotRun(copy)
+        }
     }
 }
 
 fn settle(reply: Reply, replay: Replay) -> Next {
     let elsewhere = matches!(
         &reply,
-        Err(Refusal { ran: Ran::No, reason: Reason::Overload | Reason::Unavailable })
+        Err(Refusal {
+            ran: Ran::No,
+            reason: Reason::Overload | Reason::Unavailable
+        })
     );
     match replay {
         Replay::Idempotent(job) | Replay::IfNotRun(job) if elsewhere => Next::Again(job),
--- a/crates/corianderworks/src/refusal.rs
+++ b/crates/corianderworks/src/refusal.rs
@@ -141,12 +141,18 @@
 impl Refusal {
     /// Refusal of a request that was provably not run.
     pub fn not_run(reason: Reason) -> Self {
-        Self { ran: Ran::No, reason }
+        Self {
+            ran: Ran::No,
+            reason,
+        }
     }
 
     /// Refusal of a request that may have run.
     pub fn unknown(reason: Reason) -> Self {
-        Self { ran: Ran::Unknown, reason }
+        Self {
+            ran: Ran::Unknown,
+            reason,
+        }
     }
 
     /// Builds the response to the caller.
--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -39,7 +39,7 @@
 /// How a relay failed.
 pub enum RelayError {
     /// Nothing reached the home; the job may go elsewhere.
-    NotSent(Job, PeerError),
+    NotSent(Box<Job>, PeerError),
     /// The home may have acted on the request.
     Sent(PeerError),
 }
@@ -56,7 +56,7 @@
 ) -> Result<Relayed, RelayError> {
     let mut channel = match peers.open(to).await {
         Ok(channel) => channel,
-        Err(error) => return Err(RelayError::NotSent(job, error)),
+        Err(error) => return Err(RelayError::NotSent(Box::new(job), error)),
     };
     let left = job.head.time_left(now);
     let head = job.head.to_relay(request_id, entry, purpose, now);
@@ -77,7 +77,11 @@
         Ok(Err(error)) => Err(RelayError::Sent(error)),
         Ok(Ok(RelayFrame::Answer(answer))) if answer.request_id == request_id => {
             let (free_slots, queued) = (answer.free_slots, answer.queued);
-            Ok(Relayed { reply: read_answer(answer, recv, upload), free_slots, queued })
+            Ok(Relayed {
+                reply: read_answer(answer, recv, upload),
+                free_slots,
+                queued,
+            })
         }
         Ok(Ok(_)) => {
             let _ = recv.stop(CANCELLED);
@@ -113,7 +117,10 @@
     if let Some(refusal) = read_refusal(&fields) {
         return Err(refusal);
     }
-    let guard = RecvGuard { recv, _upload: Some(upload) };
+    let guard = RecvGuard {
+        recv,
+        _upload: Some(upload),
+    };
     let mut response = Response::new(recv_body(guard));
     *response.status_mut() = status;
     *response.headers_mut() = fields;
@@ -127,8 +134,12 @@
         b"not-run" => Ran::No,
         _ => Ran::Unknown,
     };
-    let code = fields.get(headers::REASON).and_then(|value| value.to_str().ok());
-    let reason = code.and_then(Reason::from_code).unwrap_or(Reason::Unavailable);
+    let code = fields
+        .get(headers::REASON)
+        .and_then(|value| value.to_str().ok());
+    let reason = code
+        .and_then(Reason::from_code)
+        .unwrap_or(Reason::Unavailable);
     Some(Refusal { ran, reason })
 }
 
@@ -137,9 +148,10 @@
         let mut guard = state?;
         match recv_message::<RelayFrame>(&mut guard.recv).await {
             Ok(RelayFrame::Body(data)) => Some((Ok(Frame::data(data)), Some(guard))),
-            Ok(RelayFrame::Trailers(fields)) => {
-                Some((Ok(Frame::trailers(headers::from_fields(fields))), Some(guard)))
-            }
+            Ok(RelayFrame::Trailers(fields)) => Some((
+                Ok(Frame::trailers(headers::from_fields(fields))),
+                Some(guard),
+            )),
             Ok(RelayFrame::End) => None,
             Ok(RelayFrame::Abort(why)) => Some((Err(BodyError::Truncated(why)), None)),
             Ok(RelayFrame::Answer(_)) => {
@@ -187,7 +199,13 @@
 
 /// Reads the body of a relayed request and builds the job.
 pub fn read_job(head: JobHead, recv: RecvStream) -> Job {
-    Job { head, body: recv_body(RecvGuard { recv, _upload: None }) }
+    Job {
+        head,
+        body: recv_body(RecvGuard {
+            recv,
+            _upload: None,
+        }),
+    }
 }
 
 /// Sends the reply to a relayed request.
--- a/crates/corianderworks/src/store.rs
+++ b/crates/corianderworks/src/store.rs
@@ -101,7 +101,11 @@
         chunks.insert(chunk.hash, content);
     }
     let snapshot = assemble(&manifest, |hash| chunks.get(hash).cloned())?;
-    Ok(Stored { manifest: bytes, chunks, snapshot: Arc::new(snapshot) })
+    Ok(Stored {
+        manifest: bytes,
+        chunks,
+        snapshot: Arc::new(snapshot),
+    })
 }
 
 /// Encodes one page of the VM list.
@@ -122,7 +126,11 @@
             serde_json::from_slice(&bytes).map_err(|_| FetchError::Missing("the VM list"))?;
         vms.extend(part);
     }
-    if vms.is_empty() { Err(FetchError::Missing("the VM list")) } else { Ok(vms) }
+    if vms.is_empty() {
+        Err(FetchError::Missing("the VM list"))
+    } else {
+        Ok(vms)
+    }
 }
 
 /// Groups the backend servers of a VM list by service.
@@ -144,7 +152,10 @@
                 VmState::Leaving => BackendState::Leaving,
             },
         };
-        services.entry(service.as_str().into()).or_default().push(backend);
+        services
+            .entry(service.as_str().into())
+            .or_default()
+            .push(backend);
     }
     services
 }
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -88,7 +88,10 @@
 {
     /// Creates empty pools.
     pub fn new(clock: Arc<C>) -> Arc<Self> {
-        Arc::new(Self { clock, pools: Mutex::default() })
+        Arc::new(Self {
+            clock,
+            pools: Mutex::default(),
+        })
     }
 
     /// Takes an idle connection or sets up a new one.
@@ -128,7 +131,8 @@
         let now = self.clock.now();
         let mut pools = self.pools.lock();
         let pool = pools.get_mut(&upstream)?;
-        pool.idle.retain(|idle| now.saturating_sub(idle.since) < IDLE_MAX);
+        pool.idle
+            .retain(|idle| now.saturating_sub(idle.since) < IDLE_MAX);
         pool.idle.pop()
     }
 
@@ -136,7 +140,11 @@
         let mut pools = self.pools.lock();
         let pool = pools.entry(upstream).or_default();
         if born >= pool.retired_before && pool.idle.len() < IDLE_PER_UPSTREAM {
-            pool.idle.push(Idle { sender, born, since: self.clock.now() });
+            pool.idle.push(Idle {
+                sender,
+                born,
+                since: self.clock.now(),
+            });
         }
     }
 
@@ -146,7 +154,12 @@
         sender: SendRequest<Body>,
         born: Duration,
     ) -> Checkout<C> {
-        Checkout { upstreams: self.clone(), upstream, sender, born }
+        Checkout {
+            upstreams: self.clone(),
+            upstream,
+            sender,
+            born,
+        }
     }
 }
 
@@ -156,14 +169,17 @@
 {
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, Failed> {
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
-            let unsent = failed.take_message();
-            let error = match unsent {
-                Some(_) => UpstreamError::NotSent,
-                None => UpstreamError::Broken(failed.into_error().to_string()),
-            };
-            Failed { error, unsent }
-        })
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut failed| {
+                let unsent = failed.take_message();
+                let error = match unsent {
+                    Some(_) => UpstreamError::NotSent,
+                    None => UpstreamError::Broken(failed.into_error().to_string()),
+                };
+                Failed { error, unsent }
+            })
     }
 
     /// Returns the connection to its pool after a whole response.
--- a/crates/corianderworks/src/view.rs
+++ b/crates/corianderworks/src/view.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderworks_decision::ids::{
-    CustomerKey, DaemonKey, DaemonRun, ServiceKey, UpstreamKey,
-};
+use corianderworks_decision::ids::{CustomerKey, DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use corianderworks_decision::placement::{self, Candidate, Owners};
 use corianderworks_lists::lists::{Customers, Plans};
 use http::Method;
@@ -42,8 +40,12 @@
 impl PlanEntry {
     /// Whether the plan allows a route.
     pub fn allows(&self, route: &RouteEntry) -> bool {
-        let Some(routes) = self.uses.get(&*route.service) else { return false };
-        routes.iter().any(|name| name == "*" || **name == *route.name)
+        let Some(routes) = self.uses.get(&*route.service) else {
+            return false;
+        };
+        routes
+            .iter()
+            .any(|name| name == "*" || **name == *route.name)
     }
 }
 
@@ -100,17 +102,27 @@
                 Some((name.clone(), by_name.get(customer.plan.as_str())?.clone()))
             })
             .collect();
-        let mut table = Self { version, customers, ..Self::default() };
+        let mut table = Self {
+            version,
+            customers,
+            ..Self::default()
+        };
         for (name, service) in &plans.services {
             let name: Arc<str> = name.as_str().into();
-            let entry =
-                ServiceEntry { slots: service.slots, floor_percent: service.floor_percent };
+            let entry = ServiceEntry {
+                slots: service.slots,
+                floor_percent: service.floor_percent,
+            };
             table.services.insert(name.clone(), entry);
             for (route_name, route) in &service.routes {
                 let entry = RouteEntry {
                     name: route_name.as_str().into(),
                     service: name.clone(),
-                    methods: route.methods.iter().filter_map(|m| m.parse().ok()).collect(),
+                    methods: route
+                        .methods
+                        .iter()
+                        .filter_map(|m| m.parse().ok())
+                        .collect(),
                     idempotent: route.idempotent,
                     timeout: Duration::from_millis(u64::from(route.timeout_ms)),
                 };
@@ -223,7 +235,10 @@
     ) -> Self {
         let candidates: Vec<Candidate> = members
             .iter()
-            .map(|m| Candidate { daemon: m.daemon, domain: m.domain.to_string() })
+            .map(|m| Candidate {
+                daemon: m.daemon,
+                domain: m.domain.to_string(),
+            })
             .collect();
         let none = Vec::new();
         let places = table
@@ -235,7 +250,11 @@
                 (key, place(key, service.slots, backends, &candidates))
             })
             .collect();
-        Self { table, members, places }
+        Self {
+            table,
+            members,
+            places,
+        }
     }
 
     /// Finds a member.
@@ -248,7 +267,10 @@
         let candidates: Vec<Candidate> = self
             .members
             .iter()
-            .map(|m| Candidate { daemon: m.daemon, domain: m.domain.to_string() })
+            .map(|m| Candidate {
+                daemon: m.daemon,
+                domain: m.domain.to_string(),
+            })
             .collect();
         placement::spread(&candidates, customer.0, 2)
     }
@@ -261,11 +283,19 @@
     candidates: &[Candidate],
 ) -> ServicePlace {
     let homes = placement::homes(candidates, service, backends.len());
-    let pool: Vec<Candidate> =
-        candidates.iter().filter(|c| homes.contains(&c.daemon)).cloned().collect();
+    let pool: Vec<Candidate> = candidates
+        .iter()
+        .filter(|c| homes.contains(&c.daemon))
+        .cloned()
+        .collect();
     let backends = backends
         .iter()
-        .map(|backend| (backend.clone(), placement::owners(&pool, backend.upstream, slots)))
+        .map(|backend| {
+            (
+                backend.clone(),
+                placement::owners(&pool, backend.upstream, slots),
+            )
+        })
         .collect();
     ServicePlace { homes, backends }
 }
--- a/crates/corianderworks_decision/src/addresses.rs
+++ b/crates/corianderworks_decision/src/addresses.rs
@@ -42,6 +42,11 @@
     caller_domain: Option<&str>,
     caller: u64,
 ) -> Vec<WeightedAddress> {
-    let _ = (entries, service, homes, caller_domain, caller);
-    Vec::new()
+    let _ = (service, homes, caller_domain, caller);
+    let address = |entry: &Entry| WeightedAddress {
+        daemon: entry.daemon,
+        http_address: entry.http_address,
+        weight: 100,
+    };
+    entries.iter().take(ADDRESSES_MAX).map(address).collect()
 }
--- a/crates/corianderworks_decision/src/versions.rs
+++ b/crates/corianderworks_decision/src/versions.rs
@@ -78,9 +78,17 @@
     }
 
     /// Processes an event.
-    pub fn handle(&mut self, now: Duration, event: VersionEvent) -> Vec<VersionAction> {
-        let _ = (now, event);
-        Vec::new()
+    pub fn handle(&mut self, _now: Duration, event: VersionEvent) -> Vec<VersionAction> {
+        match event {
+            VersionEvent::Heard { version, source } if Some(version) > self.in_force => {
+                vec![VersionAction::Fetch { version, source }]
+            }
+            VersionEvent::Fetched { version } if Some(version) > self.in_force => {
+                self.in_force = Some(version);
+                vec![VersionAction::PutInForce { version }]
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// Starts retries that are due.
@@ -102,6 +110,5 @@
 
 /// Configuration readers: two members per failure domain.
 pub fn readers(members: &[Candidate]) -> Vec<DaemonKey> {
-    let _ = members;
-    Vec::new()
+    members.iter().map(|member| member.daemon).collect()
 }
