Add the baseline scheduler

Change: round robin with ejection after five consecutive failures behind the trait that the dispatcher implements.

--- a/crates/corianderworks_decision/src/baseline.rs
+++ b/crates/corianderworks_decision/src/baseline.rs
@@ -1,1 +1,207 @@
-//! Baseline for measurements: each daemon alone, round robin, consecutive-error ejection.
+//! The baseline: each daemon balances alone over all upstreams.
+//!
+//! Round robin with ejection after consecutive errors, no slots, no queue and no messages. The
+//! experiments run it on the same seeds as the dispatcher.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::dispatch_types::*;
+use crate::ids::{DaemonRun, UpstreamKey};
+use crate::permits;
+use crate::retry::{RetryBudget, safe_to_retry};
+
+/// Consecutive failures that eject an upstream.
+const CONSECUTIVE_FAILURES: u32 = 5;
+/// First ejection time; it grows with each ejection.
+const EJECTION_TIME: Duration = Duration::from_secs(30);
+/// Longest ejection time.
+const EJECTION_MAX: Duration = Duration::from_secs(300);
+
+#[derive(Debug)]
+struct Entry {
+    view: UpstreamView,
+    failures: u32,
+    ejections: u32,
+    since: Duration,
+    ejected_until: Option<Duration>,
+    in_flight: u32,
+}
+
+impl Entry {
+    fn routable(&self) -> bool {
+        matches!(self.view.state, UpstreamState::Live | UpstreamState::Cold)
+    }
+}
+
+/// Scheduler of one service at one daemon that knows only its own requests.
+#[derive(Debug)]
+pub struct Baseline {
+    me: DaemonRun,
+    config: DispatchConfig,
+    upstreams: BTreeMap<UpstreamKey, Entry>,
+    last: Option<UpstreamKey>,
+    next_slot: u64,
+    budget: RetryBudget,
+}
+
+impl Baseline {
+    /// Creates the scheduler.
+    pub fn new(me: DaemonRun, config: DispatchConfig) -> Self {
+        Self {
+            me,
+            budget: RetryBudget::new(config.retry_percent),
+            config,
+            upstreams: BTreeMap::new(),
+            last: None,
+            next_slot: 0,
+        }
+    }
+
+    /// The daemon.
+    pub fn daemon(&self) -> DaemonRun {
+        self.me
+    }
+
+    fn may_eject(&self) -> bool {
+        let count = self.upstreams.len() as u32;
+        let ejected = self
+            .upstreams
+            .values()
+            .filter(|e| e.ejected_until.is_some());
+        (ejected.count() as u32) < permits::permit_count(count, self.config.floor_percent)
+    }
+
+    fn next(&self, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
+        let after = self
+            .upstreams
+            .iter()
+            .filter(|(key, _)| Some(**key) > self.last);
+        let before = self
+            .upstreams
+            .iter()
+            .filter(|(key, _)| Some(**key) <= self.last);
+        let usable: Vec<UpstreamKey> = after
+            .chain(before)
+            .filter(|(_, e)| e.routable() && e.ejected_until.is_none())
+            .map(|(key, _)| *key)
+            .collect();
+        let untried = usable.iter().find(|key| !tried.contains(key));
+        untried.or(usable.first()).copied()
+    }
+
+    fn record(&mut self, now: Duration, upstream: UpstreamKey, failed: bool) -> Option<Action> {
+        let may_eject = self.may_eject();
+        let entry = self.upstreams.get_mut(&upstream)?;
+        entry.failures = if failed { entry.failures + 1 } else { 0 };
+        let eject = entry.failures >= CONSECUTIVE_FAILURES && entry.ejected_until.is_none();
+        if !eject || !may_eject {
+            return None;
+        }
+        entry.ejections += 1;
+        entry.failures = 0;
+        entry.since = now;
+        entry.ejected_until = Some(now + (EJECTION_TIME * entry.ejections).min(EJECTION_MAX));
+        Some(Action::Ejected {
+            upstream,
+            evidence: Evidence::Errors,
+        })
+    }
+}
+
+impl Schedule for Baseline {
+    fn set_upstreams(&mut self, now: Duration, views: &[UpstreamView]) -> Vec<Action> {
+        let mut old = std::mem::take(&mut self.upstreams);
+        for view in views {
+            let mut entry = old.remove(&view.upstream).unwrap_or_else(|| Entry {
+                view: view.clone(),
+                failures: 0,
+                ejections: 0,
+                since: now,
+                ejected_until: None,
+                in_flight: 0,
+            });
+            entry.view = view.clone();
+            self.upstreams.insert(view.upstream, entry);
+        }
+        Vec::new()
+    }
+
+    fn admit(&mut self, now: Duration, request: RequestView) -> Admit {
+        if request.tried.is_empty() {
+            self.budget.request(now);
+        }
+        let Some(upstream) = self.next(&request.tried) else {
+            return Admit::Refuse(Reason::NoUpstream);
+        };
+        self.last = Some(upstream);
+        self.next_slot += 1;
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            entry.in_flight += 1;
+        }
+        Admit::Run(Lease {
+            upstream,
+            slot: self.next_slot,
+        })
+    }
+
+    fn cancel(&mut self, _now: Duration, _ticket: Ticket) {}
+
+    fn finish(&mut self, now: Duration, lease: Lease, outcome: Outcome) -> Vec<Action> {
+        if let Some(entry) = self.upstreams.get_mut(&lease.upstream) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+        let failed = match outcome {
+            Outcome::Success { .. } | Outcome::Drained { .. } => false,
+            Outcome::Cancelled { .. } | Outcome::NotRun { .. } => return Vec::new(),
+            _ => true,
+        };
+        self.record(now, lease.upstream, failed)
+            .into_iter()
+            .collect()
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for (key, entry) in &mut self.upstreams {
+            if entry.ejected_until.is_some_and(|until| now >= until) {
+                entry.ejected_until = None;
+                entry.since = now;
+                actions.push(Action::Restored { upstream: *key });
+            }
+        }
+        actions
+    }
+
+    fn may_retry(&mut self, now: Duration, request: &RequestView, outcome: Outcome) -> Retry {
+        let safe = safe_to_retry(request.idempotent, outcome) == Retry::Retry;
+        if safe && now < request.deadline && self.budget.take(now) {
+            Retry::Retry
+        } else {
+            Retry::GiveUp
+        }
+    }
+
+    fn load(&self, _now: Duration) -> Load {
+        Load::default()
+    }
+
+    fn explain(&self, _now: Duration) -> Vec<UpstreamReport> {
+        let report = |(key, entry): (&UpstreamKey, &Entry)| UpstreamReport {
+            upstream: *key,
+            domain: entry.view.domain.clone(),
+            standing: match entry.ejected_until {
+                _ if !entry.routable() => Standing::Leaving,
+                Some(_) => Standing::Ejected,
+                None => Standing::InUse,
+            },
+            since: entry.since,
+            evidence: entry.ejected_until.map(|_| Evidence::Errors),
+            permit: None,
+            score_milli: entry.failures * 1000 / CONSECUTIVE_FAILURES,
+            in_flight: entry.in_flight,
+            share: entry.view.total_slots,
+        };
+        self.upstreams.iter().map(report).collect()
+    }
+}
