--- a/crates/corianderworks_standin/src/backend.rs
+++ b/crates/corianderworks_standin/src/backend.rs
@@ -20,6 +20,7 @@
 pub use crate::backend_settings::{BackendSettings, HealthReport, Mode, ServiceTime};
 pub use crate::backend_stats::{BackendStats, Execution, Executions};
 use crate::body::{self, Content, CutBody, SeededBytes};
+use crate::control::{Controlled, Side};
 use crate::serve::{self, Body, Closed, Connection, Handler, Limits, Server};
 
 /// Header with the outcome of a refusal.
@@ -38,6 +39,7 @@
 pub struct BackendStandIn {
     backend: Arc<Backend>,
     server: Arc<Server>,
+    side: Option<Arc<Side>>,
 }
 
 impl BackendStandIn {
@@ -48,11 +50,21 @@
             connect_delay: Duration::from_micros(settings.connect_us),
         };
         let mode = settings.mode;
+        let (name, control) = (settings.name.clone(), settings.control_address);
+        let timeline = settings.timeline.clone();
         let backend = Arc::new(Backend::new(settings));
         let server = Arc::new(Server::start(address, limits, backend.clone()).await?);
-        let standin = Self { backend, server };
+        let standin = Self {
+            backend,
+            server,
+            side: None,
+        };
         standin.set_mode(mode);
-        Ok(standin)
+        let side = Side::start(standin.clone(), &name, control, &timeline).await?;
+        Ok(Self {
+            side: Some(Arc::new(side)),
+            ..standin
+        })
     }
 
     /// Address of the server.
@@ -60,6 +72,11 @@
         self.server.address()
     }
 
+    /// Address of `/control/faults`, if the settings have one.
+    pub fn control_address(&self) -> Option<SocketAddr> {
+        self.side.as_ref()?.address()
+    }
+
     /// Changes the behaviour towards real requests.
     pub fn set_mode(&self, mode: Mode) {
         {
@@ -127,10 +144,25 @@
 
     /// Closes the listener and all connections at once.
     pub async fn stop(&self) {
+        if let Some(side) = &self.side {
+            side.stop().await;
+        }
         self.server.stop().await;
     }
 }
 
+impl Controlled for BackendStandIn {
+    type Faults = Mode;
+
+    fn faults(&self) -> Mode {
+        self.mode()
+    }
+
+    fn set_faults(&self, mode: Mode) {
+        self.set_mode(mode);
+    }
+}
+
 #[derive(Debug)]
 struct State {
     mode: Mode,
--- a/crates/corianderworks_standin/src/backend_settings.rs
+++ b/crates/corianderworks_standin/src/backend_settings.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::FaultTimeline;
+
 /// Log-normal distribution of the service time.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -90,7 +92,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct BackendSettings {
-    /// Name returned in JSON bodies.
+    /// Name, returned in JSON bodies.
     pub name: String,
     /// Requests processed at the same time.
     pub slots: usize,
@@ -119,6 +121,8 @@
     pub cold_factor: f64,
     /// Mode at the start.
     pub mode: Mode,
+    /// Faults by time, for the target that has the name above.
+    pub timeline: FaultTimeline,
     /// Seed of all random choices.
     pub seed: u64,
     /// Records executions by `cw-request-id` too, not only by key and check id.
@@ -144,6 +148,7 @@
             cold_start_ms: 0,
             cold_factor: 5.0,
             mode: Mode::default(),
+            timeline: FaultTimeline::default(),
             seed: 1,
             record_request_ids: true,
             control_address: None,
--- a/crates/corianderworks_standin/src/lib.rs
+++ b/crates/corianderworks_standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backend_stats;
 pub mod body;
 pub mod budget;
+mod control;
 pub mod fault;
 pub mod object_store;
 pub mod platform;
--- a/crates/corianderworks_standin/src/platform.rs
+++ b/crates/corianderworks_standin/src/platform.rs
@@ -17,29 +17,45 @@
 use serde_json::json;
 
 use crate::budget::Budget;
+use crate::control::{Controlled, Side};
 use crate::object_store::{Condition, ObjectStore, Revision};
 pub use crate::platform_settings::{
     CallCounts, Cut, PlatformFault, PlatformSettings, Vm, VmKind, VmState,
 };
 use crate::serve::{self, Body, Closed, Connection, Handler, Limits, Server};
 
+/// Name of the platform in the fault timeline of its settings.
+pub const TARGET: &str = "platform";
+
 /// Running platform stand-in; clones refer to the same one.
 #[derive(Debug, Clone)]
 pub struct PlatformStandIn {
     platform: Arc<Platform>,
     server: Arc<Server>,
+    side: Option<Arc<Side>>,
 }
 
 impl PlatformStandIn {
     /// Starts the stand-in; port 0 selects a free port.
     pub async fn start(address: SocketAddr, settings: PlatformSettings) -> io::Result<Self> {
-        let platform = Arc::new(Platform::new(settings));
         let limits = Limits {
             connections: usize::MAX,
             connect_delay: Duration::ZERO,
         };
+        let control = settings.control_address;
+        let timeline = settings.timeline.clone();
+        let platform = Arc::new(Platform::new(settings));
         let server = Arc::new(Server::start(address, limits, platform.clone()).await?);
-        Ok(Self { platform, server })
+        let standin = Self {
+            platform,
+            server,
+            side: None,
+        };
+        let side = Side::start(standin.clone(), TARGET, control, &timeline).await?;
+        Ok(Self {
+            side: Some(Arc::new(side)),
+            ..standin
+        })
     }
 
     /// Address of the object API.
@@ -47,6 +63,11 @@
         self.server.address()
     }
 
+    /// Address of `/control/faults`, if the settings have one.
+    pub fn control_address(&self) -> Option<SocketAddr> {
+        self.side.as_ref()?.address()
+    }
+
     /// Replaces all faults by one; the default fault restores normal operation.
     pub fn set_fault(&self, fault: PlatformFault) {
         self.set_faults(vec![fault]);
@@ -94,10 +115,25 @@
     /// Closes the listener and all connections; the objects stay readable
     /// through this handle.
     pub async fn stop(&self) {
+        if let Some(side) = &self.side {
+            side.stop().await;
+        }
         self.server.stop().await;
     }
 }
 
+impl Controlled for PlatformStandIn {
+    type Faults = Vec<PlatformFault>;
+
+    fn faults(&self) -> Self::Faults {
+        PlatformStandIn::faults(self)
+    }
+
+    fn set_faults(&self, faults: Self::Faults) {
+        PlatformStandIn::set_faults(self, faults);
+    }
+}
+
 #[derive(Debug)]
 struct Meter {
     reads: Budget,
--- a/crates/corianderworks_standin/src/platform_settings.rs
+++ b/crates/corianderworks_standin/src/platform_settings.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fault::FaultTimeline;
+
 /// State of a VM in the VM list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -99,6 +101,8 @@
     pub vms: Vec<Vm>,
     /// Faults at the start.
     pub faults: Vec<PlatformFault>,
+    /// Faults by time, for the target `platform`.
+    pub timeline: FaultTimeline,
     /// Seed of all random choices.
     pub seed: u64,
     /// Address of `/control/faults`; none if absent.
@@ -117,6 +121,7 @@
             vm_lag_ms: 2_000,
             vms: Vec::new(),
             faults: Vec::new(),
+            timeline: FaultTimeline::default(),
             seed: 1,
             control_address: None,
         }
--- /dev/null
+++ b/crates/corianderworks_standin/tests/fault.rs
@@ -0,0 +1,219 @@
+//! Timelines and control addresses.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderworks_standin::backend::{BackendSettings, BackendStandIn, Mode};
+use corianderworks_standin::fault::{
+    Fault, FaultTarget, FaultTimeline, Noise, Targets, TimelineError,
+};
+use corianderworks_standin::platform::{PlatformFault, PlatformSettings, PlatformStandIn};
+use support::{Http, any, soon};
+
+fn timeline(json: &str) -> FaultTimeline {
+    serde_json::from_str(json).expect("a timeline")
+}
+
+/// Guards against a fault that ends another one, and against a wildcard that
+/// matches too little or too much.
+#[test]
+fn overlapping_faults_end_independently() {
+    let timeline = timeline(
+        r#"[
+        {"at_ms": 10, "for_ms": 20, "target": "stock/a/*", "fault": {"kind": "drain"}},
+        {"at_ms": 20, "target": "stock/a/1",
+         "fault": {"kind": "backend", "mode": "slow", "factor": 10.0}}
+    ]"#,
+    );
+    let (drain, slow) = (Fault::Drain, Fault::Backend(Mode::Slow { factor: 10.0 }));
+    let changes = timeline.changes(["stock/a/1", "stock/a/2", "stock/b/1"]);
+    let seen: Vec<_> = changes
+        .iter()
+        .map(|c| {
+            (
+                c.at.as_millis(),
+                c.target.as_str(),
+                c.active.clone(),
+                c.begun.clone(),
+            )
+        })
+        .collect();
+    let expected = [
+        (10, "stock/a/1", vec![drain.clone()], vec![drain.clone()]),
+        (10, "stock/a/2", vec![drain.clone()], vec![drain.clone()]),
+        (
+            20,
+            "stock/a/1",
+            vec![drain, slow.clone()],
+            vec![slow.clone()],
+        ),
+        (30, "stock/a/1", vec![slow], vec![]),
+        (30, "stock/a/2", vec![], vec![]),
+    ];
+    assert_eq!(seen, expected);
+}
+
+/// Guards against an event that is silently ignored.
+#[tokio::test]
+async fn timeline_with_an_unknown_name_is_refused() {
+    let backend = BackendStandIn::start(any(), BackendSettings::default())
+        .await
+        .unwrap();
+    let targets = Targets::from([("b".to_owned(), Arc::new(backend) as Arc<dyn FaultTarget>)]);
+    let unknown = timeline(r#"[{"at_ms": 0, "target": "c", "fault": {"kind": "drain"}}]"#);
+    let error = TimelineError::UnknownTarget {
+        index: 0,
+        target: "c".into(),
+    };
+    assert_eq!(soon(unknown.run(&targets)).await, Err(error));
+    let outage = r#"[{"at_ms": 0, "target": "*", "fault": {"kind": "platform", "outage": true}}]"#;
+    let error = TimelineError::UnsupportedFault {
+        index: 0,
+        target: "b".into(),
+    };
+    assert_eq!(soon(timeline(outage).run(&targets)).await, Err(error));
+    let misspelt = r#"[{"at_ms": 0, "target": "b", "fault": {"kind": "backend", "mode": "slwo"}}]"#;
+    assert!(serde_json::from_str::<FaultTimeline>(misspelt).is_err());
+}
+
+/// Guards against a run that does not put faults into force or leaves them.
+#[tokio::test]
+async fn run_applies_and_clears_faults() {
+    let backend = BackendStandIn::start(any(), BackendSettings::default())
+        .await
+        .unwrap();
+    let platform = PlatformStandIn::start(any(), PlatformSettings::default())
+        .await
+        .unwrap();
+    let targets = Targets::from([
+        (
+            "b".to_owned(),
+            Arc::new(backend.clone()) as Arc<dyn FaultTarget>,
+        ),
+        (
+            "p".to_owned(),
+            Arc::new(platform.clone()) as Arc<dyn FaultTarget>,
+        ),
+    ]);
+    let slow = Mode::Slow { factor: 2.0 };
+    let begin = timeline(
+        r#"[
+        {"at_ms": 0, "target": "b", "fault": {"kind": "backend", "mode": "slow", "factor": 2.0}},
+        {"at_ms": 5, "target": "b", "fault": {"kind": "drain"}},
+        {"at_ms": 5, "target": "p", "fault": {"kind": "platform", "outage": true}}
+    ]"#,
+    );
+    soon(begin.run(&targets)).await.unwrap();
+    let outage = PlatformFault {
+        outage: true,
+        ..PlatformFault::default()
+    };
+    assert_eq!((backend.mode(), platform.faults()), (slow, vec![outage]));
+    let http = Http::http1(backend.address());
+    assert_eq!(
+        soon(http.get("/x")).await.unwrap().header("cw-drain"),
+        Some("1")
+    );
+    let mut ending = begin.clone();
+    for event in &mut ending.events {
+        event.for_ms = Some(10);
+    }
+    soon(ending.run(&targets)).await.unwrap();
+    assert_eq!((backend.mode(), platform.faults()), (Mode::Healthy, vec![]));
+    assert_eq!(soon(http.get("/x")).await.unwrap().header("cw-drain"), None);
+}
+
+/// Guards against a timeline in the settings that never runs.
+#[tokio::test]
+async fn settings_carry_a_timeline() {
+    let json = r#"{"timeline": [{"at_ms": 1, "target": "platform",
+        "fault": {"kind": "platform", "outage": true}}]}"#;
+    let settings: PlatformSettings = serde_json::from_str(json).unwrap();
+    let platform = PlatformStandIn::start(any(), settings.clone())
+        .await
+        .unwrap();
+    soon(async {
+        while platform.faults().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    let backend = BackendSettings {
+        timeline: settings.timeline,
+        ..BackendSettings::default()
+    };
+    assert!(BackendStandIn::start(any(), backend).await.is_err());
+}
+
+/// Guards against a control address that does not change the faults or takes
+/// malformed ones.
+#[tokio::test]
+async fn control_address_reads_and_replaces_faults() {
+    let settings = BackendSettings {
+        control_address: Some(any()),
+        ..BackendSettings::default()
+    };
+    let backend = BackendStandIn::start(any(), settings).await.unwrap();
+    let control = Http::http1(backend.control_address().unwrap());
+    let stall = r#"{"mode": "stall", "share": 0.5}"#;
+    let put = soon(control.send("PUT", "/control/faults", &[], stall))
+        .await
+        .unwrap();
+    assert_eq!(put.status, 200);
+    assert_eq!(backend.mode(), Mode::Stall { share: 0.5 });
+    let bad = soon(control.send("PUT", "/control/faults", &[], "{}"))
+        .await
+        .unwrap();
+    assert_eq!(bad.status, 400);
+    let got = soon(control.get("/control/faults")).await.unwrap();
+    assert_eq!(
+        got.json(),
+        serde_json::from_str::<serde_json::Value>(stall).unwrap()
+    );
+
+    let settings = PlatformSettings {
+        control_address: Some(any()),
+        ..PlatformSettings::default()
+    };
+    let platform = PlatformStandIn::start(any(), settings).await.unwrap();
+    let control = Http::http1(platform.control_address().unwrap());
+    let outage = r#"[{"outage": true}]"#;
+    assert_eq!(
+        soon(control.send("PUT", "/control/faults", &[], outage))
+            .await
+            .unwrap()
+            .status,
+        200
+    );
+    let http = Http::http1(platform.address());
+    assert_eq!(soon(http.get("/vms")).await.unwrap().status, 503);
+    assert_eq!(
+        soon(control.get("/control/faults")).await.unwrap().json()[0]["outage"],
+        true
+    );
+}
+
+/// Guards against noise that a seed does not reproduce.
+#[test]
+fn noise_depends_on_its_seed_alone() {
+    let noise = |seed| Noise {
+        seed,
+        count: 20,
+        within_ms: 60_000,
+        for_ms: (100, 900),
+        targets: vec!["a".into(), "b".into()],
+        faults: vec![Fault::Drain, Fault::ColdStart],
+    };
+    let first = FaultTimeline::random(&noise(1));
+    assert_eq!(first, FaultTimeline::random(&noise(1)));
+    assert_ne!(first, FaultTimeline::random(&noise(2)));
+    assert_eq!(first.events.len(), 20);
+    assert!(
+        first
+            .events
+            .iter()
+            .all(|e| (100..=900).contains(&e.for_ms.unwrap()))
+    );
+}
