--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -42,6 +42,8 @@
 pub const SERVICE: &str = "control";
 /// Time between two evidence reports to the other homes of a service.
 const EVIDENCE_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two asks for the VM list while a starting daemon has none.
+const VMS_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// A backend server that is no longer listed counts as gone for this long before the size of
 /// its service, and with it the floor, follows the list.
 const GONE_KEPT: Duration = Duration::from_secs(60);
@@ -163,7 +165,8 @@
     generation: u64,
     next_evidence: Duration,
     stop_asked: bool,
-    vms_asked: bool,
+    next_vms_ask: Duration,
+    vms_asks: usize,
     control: Option<ActorRef<Self>>,
 }
 
@@ -210,7 +213,8 @@
             generation: u64::MAX,
             next_evidence: Duration::ZERO,
             stop_asked: false,
-            vms_asked: false,
+            next_vms_ask: Duration::ZERO,
+            vms_asks: 0,
             control: None,
         }
     }
@@ -696,7 +700,7 @@
         };
         let knows_backends = !self.listed.is_empty();
         if !knows_backends {
-            self.ask_vms();
+            self.ask_vms(now);
         }
         let progress = Progress {
             in_force: self.versions.in_force().filter(|_| knows_backends),
@@ -727,23 +731,29 @@
         }
     }
 
-    /// Asks some member for the VM list, for a start while the platform is down.
-    fn ask_vms(&mut self) {
+    /// Asks one member after the other for the VM list, for a start while the platform is down.
+    fn ask_vms(&mut self, now: Duration) {
+        let members = self.membership.members().count();
+        if now < self.next_vms_ask || members == 0 {
+            return;
+        }
         let Some(control) = self.control.clone() else {
             return;
         };
-        let address = self
-            .membership
-            .members()
-            .next()
-            .map(|m| m.record.peer_address);
-        let Some(address) = address.filter(|_| !self.vms_asked) else {
+        let member = self.membership.members().nth(self.vms_asks % members);
+        let Some(address) = member.map(|m| m.record.peer_address) else {
             return;
         };
-        self.vms_asked = true;
+        self.vms_asks += 1;
+        self.next_vms_ask = now + VMS_ASK_PERIOD;
         let peers = self.parts.peers.clone();
         tokio::spawn(async move {
-            let vms = store::fetch_vms(&peers, address).await.unwrap_or_default();
+            let vms = store::fetch_vms(&peers, address)
+                .await
+                .unwrap_or_else(|error| {
+                    tracing::warn!("control: a member did not send the VM list: {error}");
+                    Vec::new()
+                });
             let _ = control.tell(ControlEvent::Vms(vms)).await;
         });
     }
