Measure the latency that a home and a relay add

Cause: the target of 2.1 ms at p99 had no measurement. Change: a latency command that runs a direct connection, a home and a relay side by side in one fleet of 8 daemons and 35 backend stand-ins.

--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use corianderworks_decision::clock::{Clock, SystemClock};
 use corianderworks_decision::drain::Phase;
-use corianderworks_decision::ids::{DaemonKey, DaemonRun, Incarnation};
+use corianderworks_decision::ids::{DaemonKey, DaemonRun, Incarnation, ServiceKey};
 use corianderworks_decision::membership::{MemberRecord, Membership};
 use corianderworks_lists::manifest::{MANIFEST_PATH, Manifest};
 use corianderworks_lists::settings::{Limits, Settings};
@@ -234,6 +234,13 @@
         self.shared.view.load().members.len()
     }
 
+    /// Whether this daemon is a home of a service.
+    pub fn is_home(&self, service: &str) -> bool {
+        let view = self.shared.view.load();
+        let place = view.places.get(&ServiceKey::of(service));
+        place.is_some_and(|place| place.is_home(self.entry.parts.me.daemon))
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.entry.in_flight()
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod job;
 pub mod kernel;
 pub mod keys;
+pub mod latency;
 pub mod peer;
 pub mod peer_service;
 pub mod permits;
