Stop new work on an upstream that says it drains

Cause: the VM list lags, and a backend server's own word was only evidence. Change: the first response with cw-drain marks the upstream as leaving at this home, which tells the other homes of the service. Conclusion: the earliest signal wins.

--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -21,7 +21,7 @@
 use corianderworks_decision::versions::{Source, VersionAction, VersionEvent, Versions, readers};
 use corianderworks_lists::settings::{Balance, Prefer, Settings};
 use corianderworks_wire::codec;
-use corianderworks_wire::message::{Announce, AskEject, Datagram, Evidence};
+use corianderworks_wire::message::{Announce, AskEject, Datagram, Draining, Evidence};
 use http::HeaderValue;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -44,6 +44,9 @@
 const EVIDENCE_PERIOD: Duration = Duration::from_millis(250);
 /// Time between two asks for the VM list while a starting daemon has none.
 const VMS_ASK_PERIOD: Duration = Duration::from_millis(250);
+/// A backend server's own word that it drains holds for this long, since each of its responses
+/// repeats it. The VM list takes over within its lag.
+const DRAIN_KEPT: Duration = Duration::from_secs(300);
 /// A backend server that is no longer listed counts as gone for this long before the size of
 /// its service, and with it the floor, follows the list.
 const GONE_KEPT: Duration = Duration::from_secs(60);
@@ -74,8 +77,6 @@
     Home(HomeEvent),
     /// The permits held for a service changed.
     Permits(PermitEvent),
-    /// A backend server said that it drains.
-    Draining(UpstreamKey),
     /// The daemon should stop.
     Stop,
 }
@@ -233,18 +234,20 @@
                 self.take_version(now, heard);
             }
             ControlEvent::Fetched { source, result } => self.take_fetched(now, source, result),
-            ControlEvent::Home(event) => self.take_home_event(event),
+            ControlEvent::Home(HomeEvent::Action { service, action }) => {
+                self.take_home_action(service, action);
+            }
+            ControlEvent::Home(HomeEvent::Draining { service, upstream }) => {
+                if self.note_draining(now, service, upstream) {
+                    let message = Datagram::Draining(Draining { service, upstream });
+                    self.send_to_homes(service, &message);
+                }
+            }
             ControlEvent::Permits(event) => {
                 if let Some(home) = self.parts.homes.get(event.service) {
                     home.drive(|d, now| d.set_permits(now, &event.permits));
                 }
             }
-            ControlEvent::Draining(upstream) => {
-                if self.draining.insert(upstream, now).is_none() {
-                    tracing::info!("control: an upstream says that it drains");
-                    self.refresh(now);
-                }
-            }
             ControlEvent::Stop => self.stop_asked = true,
         }
     }
@@ -296,6 +299,9 @@
                     home.drive(|d, now| d.eject_request(now, from, upstream));
                 }
             }
+            Datagram::Draining(Draining { service, upstream }) => {
+                self.note_draining(now, service, upstream);
+            }
             member => {
                 if let Some(message) = member.into_member() {
                     let event = MemberEvent::Message { from, message };
@@ -424,6 +430,8 @@
         let actions = self.membership.vm_list(now, &daemons);
         self.take_member_actions(now, actions);
         let listed = store::backends_by_service(&vms);
+        self.draining
+            .retain(|_, since| now.saturating_sub(*since) < DRAIN_KEPT);
         self.note_gone(now, &listed);
         let changed = listed != self.listed;
         self.listed = listed;
@@ -587,8 +595,18 @@
             .collect()
     }
 
-    fn take_home_event(&self, event: HomeEvent) {
-        let HomeEvent { service, action } = event;
+    /// Stops new work on an upstream before the VM list shows that it leaves.
+    fn note_draining(&mut self, now: Duration, service: ServiceKey, upstream: UpstreamKey) -> bool {
+        let new = self.draining.insert(upstream, now).is_none();
+        if new {
+            let name = self.upstream_name(service, upstream);
+            tracing::info!("health: {name} drains");
+            self.refresh(now);
+        }
+        new
+    }
+
+    fn take_home_action(&self, service: ServiceKey, action: HomeAction) {
         match action {
             HomeAction::Announce(announcement) => {
                 let message = Datagram::Announce(Announce {
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -27,11 +27,21 @@
 
 /// What the control loop has to do for a home.
 #[derive(Debug)]
-pub struct HomeEvent {
-    /// Service.
-    pub service: ServiceKey,
-    /// What to do.
-    pub action: Action,
+pub enum HomeEvent {
+    /// The dispatcher asks for something.
+    Action {
+        /// Service.
+        service: ServiceKey,
+        /// What to do.
+        action: Action,
+    },
+    /// An upstream said that it drains.
+    Draining {
+        /// Service.
+        service: ServiceKey,
+        /// Upstream.
+        upstream: UpstreamKey,
+    },
 }
 
 /// Answer to a request that waits for a slot.
@@ -344,6 +354,13 @@
     ) -> Step {
         let status = response.status();
         let drains = response.headers().contains_key(headers::DRAIN);
+        if drains {
+            let event = HomeEvent::Draining {
+                service: self.service,
+                upstream: guard.upstream(),
+            };
+            let _ = self.events.send(event);
+        }
         let outcome_field = response.headers().get(headers::OUTCOME);
         if outcome_field.is_some_and(|value| value == "not-run") && !status.is_success() {
             let outcome = Outcome::NotRun { latency };
@@ -432,10 +449,8 @@
                     self.upstreams.retire(upstream, opened_until);
                 }
                 action => {
-                    let _ = self.events.send(HomeEvent {
-                        service: self.service,
-                        action,
-                    });
+                    let service = self.service;
+                    let _ = self.events.send(HomeEvent::Action { service, action });
                 }
             }
         }
--- a/crates/corianderworks_wire/src/message.rs
+++ b/crates/corianderworks_wire/src/message.rs
@@ -165,6 +165,8 @@
     Announce(Announce),
     /// Request to a permit holder to eject an upstream.
     AskEject(AskEject),
+    /// An upstream said that it drains.
+    Draining(Draining),
 }
 
 impl Datagram {
@@ -175,7 +177,11 @@
             Self::Ack(m) => Some(MemberMessage::Ack(m)),
             Self::PingReq(m) => Some(MemberMessage::PingReq(m)),
             Self::Gossip(m) => Some(MemberMessage::Gossip(m)),
-            Self::LoadReport(_) | Self::Evidence(_) | Self::Announce(_) | Self::AskEject(_) => None,
+            Self::LoadReport(_)
+            | Self::Evidence(_)
+            | Self::Announce(_)
+            | Self::AskEject(_)
+            | Self::Draining(_) => None,
         }
     }
 }
@@ -232,3 +238,12 @@
     /// Upstream.
     pub upstream: UpstreamKey,
 }
+
+/// An upstream said that it drains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draining {
+    /// Service.
+    pub service: ServiceKey,
+    /// Upstream.
+    pub upstream: UpstreamKey,
+}
