Add the load generator with reconciliation

Cause: promises P2 to P4 need callers that check every response against its own request and compare what they were told with what was executed. Change: callers with an address cache, a seeded mix, an open loop with bounded requests in flight, checks by echo id, length and hashes, reconciliation by key and check id, report as table, JSON and SVG. The backend stand-in serves its executions at GET /control/executions.

--- a/crates/corianderworks_load/src/lib.rs
+++ b/crates/corianderworks_load/src/lib.rs
@@ -1,6 +1,17 @@
 //! Load generator that checks each answer against its own request.
 
+pub mod address;
 pub mod caller;
+pub mod check;
 pub mod mix;
+pub mod outcome;
 pub mod plot;
+pub mod reconcile;
+pub mod recorder;
 pub mod report;
+pub mod run;
+pub mod settings;
+
+pub use report::LoadReport;
+pub use run::{LoadError, run};
+pub use settings::LoadSettings;
--- a/crates/corianderworks_standin/src/backend.rs
+++ b/crates/corianderworks_standin/src/backend.rs
@@ -149,4 +149,8 @@
     fn set_faults(&self, mode: Mode) {
         self.set_mode(mode);
     }
+
+    fn executions(&self) -> Option<Executions> {
+        Some(BackendStandIn::executions(self))
+    }
 }
--- a/crates/corianderworks_standin/src/control.rs
+++ b/crates/corianderworks_standin/src/control.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use tokio::task::JoinHandle;
 
+use crate::backend_stats::Executions;
 use crate::fault::{FaultTarget, FaultTimeline, Targets};
 use crate::serve::{self, Body, Closed, Connection, Handler, Limits, Server};
 
@@ -27,6 +28,11 @@
 
     /// Replaces the faults in force.
     fn set_faults(&self, faults: Self::Faults);
+
+    /// Executions for `/control/executions`, if the stand-in counts any.
+    fn executions(&self) -> Option<Executions> {
+        None
+    }
 }
 
 struct Control<C>(C);
@@ -37,8 +43,16 @@
         _: Arc<Connection>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, Closed> {
-        if request.uri().path() != "/control/faults" {
-            return Ok(serve::whole(StatusCode::NOT_FOUND, "unknown call"));
+        match request.uri().path() {
+            "/control/faults" => {}
+            "/control/executions" if request.method() == Method::GET => {
+                let status = StatusCode::OK;
+                return Ok(serve::json(
+                    status,
+                    &self.0.executions().unwrap_or_default(),
+                ));
+            }
+            _ => return Ok(serve::whole(StatusCode::NOT_FOUND, "unknown call")),
         }
         match *request.method() {
             Method::GET => {}
