--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -7,8 +7,9 @@
 
 use arc_swap::ArcSwap;
 use corianderworks_decision::clock::{Clock, SystemClock};
+use corianderworks_decision::dispatcher::{Schedule, Standing};
 use corianderworks_decision::drain::Phase;
-use corianderworks_decision::ids::{DaemonKey, DaemonRun, Incarnation, ServiceKey};
+use corianderworks_decision::ids::{DaemonKey, DaemonRun, Incarnation, ServiceKey, UpstreamKey};
 use corianderworks_decision::membership::{MemberRecord, Membership};
 use corianderworks_lists::manifest::{MANIFEST_PATH, Manifest};
 use corianderworks_lists::settings::{Limits, Settings};
@@ -224,6 +225,11 @@
         let _ = phase.wait_for(|phase| *phase == Phase::Ready).await;
     }
 
+    /// Entry of callers' requests.
+    pub fn entry(&self) -> Arc<Entry<SystemClock>> {
+        self.entry.clone()
+    }
+
     /// Configuration version in force, 0 before any is known.
     pub fn version(&self) -> u64 {
         self.shared.view.load().table.version
@@ -241,6 +247,18 @@
         place.is_some_and(|place| place.is_home(self.entry.parts.me.daemon))
     }
 
+    /// Upstreams of a service that get no work from this daemon because of an ejection.
+    pub fn ejected(&self, service: &str) -> Vec<UpstreamKey> {
+        let Some(home) = self.entry.parts.homes.get(ServiceKey::of(service)) else {
+            return Vec::new();
+        };
+        let reports = home.read(|dispatcher, now| dispatcher.explain(now));
+        let out = reports
+            .into_iter()
+            .filter(|report| report.standing == Standing::Ejected);
+        out.map(|report| report.upstream).collect()
+    }
+
     /// Requests in flight.
     pub fn in_flight(&self) -> usize {
         self.entry.in_flight()
--- a/crates/corianderworks/src/fleet.rs
+++ b/crates/corianderworks/src/fleet.rs
@@ -13,6 +13,9 @@
 use crate::daemon::{Daemon, DaemonError};
 use crate::tls::{Authority, KeyError};
 
+/// Share of the backend servers that ejection leaves in service.
+pub const FLOOR_PERCENT: u8 = 70;
+
 /// Why a fleet can't be started.
 #[derive(Debug, Error)]
 pub enum FleetError {
@@ -258,6 +261,29 @@
         self.platform.write(MANIFEST_PATH, manifest.to_bytes());
     }
 
+    /// Changes the lists: every plan allows more requests per second than before.
+    pub fn raise_rates(&mut self, by_per_s: u32) {
+        for plan in self.plans.plans.values_mut() {
+            plan.rate_per_s += by_per_s;
+        }
+    }
+
+    /// Finds a backend server by its name.
+    pub fn backend(&self, name: &str) -> Option<&FleetBackend> {
+        self.backends.iter().find(|backend| backend.vm.name == name)
+    }
+
+    /// Marks a VM as leaving in the VM list.
+    pub fn mark_leaving(&mut self, name: &str) {
+        let daemons = self.daemons.iter_mut().map(|(vm, _)| vm);
+        let backends = self.backends.iter_mut().map(|backend| &mut backend.vm);
+        daemons
+            .chain(backends)
+            .filter(|vm| vm.name == name)
+            .for_each(|vm| vm.state = VmState::Leaving);
+        self.publish_vms();
+    }
+
     /// Names of the customers.
     pub fn customer_names(&self) -> Vec<String> {
         self.customers.customers.keys().cloned().collect()
@@ -275,6 +301,7 @@
             format!("customer-{number}"),
             Customer {
                 plan: plan.to_owned(),
+                note: None,
             },
         )
     });
@@ -300,7 +327,8 @@
         }
         let service = Service {
             slots: deployment.slots,
-            floor_percent: 70,
+            floor_percent: FLOOR_PERCENT,
+            note: None,
             routes,
         };
         (spec.name.to_owned(), service)
@@ -310,6 +338,7 @@
         priority,
         rate_per_s,
         concurrency,
+        note: None,
         uses: deployment.services.iter().map(all).collect(),
     };
     let plans = [
--- a/crates/corianderworks/src/store.rs
+++ b/crates/corianderworks/src/store.rs
@@ -141,9 +141,8 @@
     let mut services: BTreeMap<Arc<str>, Vec<Backend>> = BTreeMap::new();
     for vm in vms.iter().filter(|vm| vm.kind == VmKind::Backend) {
         let Some(service) = &vm.service else { continue };
-        let identity = format!("{service}/{}/{}", vm.name, vm.address);
         let backend = Backend {
-            upstream: corianderworks_decision::ids::UpstreamKey::of(&identity),
+            upstream: crate::view::upstream_key(service, &vm.name, vm.address),
             name: vm.name.as_str().into(),
             address: vm.address,
             domain: vm.domain.as_str().into(),
--- a/crates/corianderworks/src/view.rs
+++ b/crates/corianderworks/src/view.rs
@@ -208,6 +208,11 @@
     pub backends: Vec<(Backend, Option<Owners>)>,
 }
 
+/// Key of a backend server.
+pub fn upstream_key(service: &str, name: &str, address: SocketAddr) -> UpstreamKey {
+    UpstreamKey::of(&format!("{service}/{name}/{address}"))
+}
+
 impl ServicePlace {
     /// Whether a daemon is a home of the service.
     pub fn is_home(&self, daemon: DaemonKey) -> bool {
