Answer no gossip with gossip between members that refuse each other

Cause: with refutation taken out in a trial, two members that each held the other for dead answered every message with another one and the test did not end. Members that refuse each other's records, or a full table, would do the same. Change: only probes and their answers get such a reply; a member with an older run than the known one is told so on its probes. Conclusion: message rates stay bounded by the probe period.

--- a/crates/corianderworks_decision/src/membership/receive.rs
+++ b/crates/corianderworks_decision/src/membership/receive.rs
@@ -22,6 +22,10 @@
             return;
         }
         self.take_header(now, from, message.header(), out);
+        // Only probes and their answers get a reply here. They are limited in rate, while two
+        // members that can't accept each other's records would answer gossip with gossip forever.
+        let reply = !matches!(message, MemberMessage::Gossip(_));
+        self.take_contact(from, message.header(), reply, out);
         match message {
             MemberMessage::Ping(ping) => self.acknowledge(from, sender, &ping, out),
             MemberMessage::Ack(ack) => self.acknowledged(&ack, out),
@@ -50,11 +54,16 @@
             let update = self.own_update();
             self.send_gossip(from, vec![update], out);
         }
-        self.take_contact(from, header, out);
     }
 
     /// What a message tells by having arrived from its sender.
-    fn take_contact(&mut self, from: SocketAddr, header: &Header, out: &mut Vec<Action>) {
+    fn take_contact(
+        &mut self,
+        from: SocketAddr,
+        header: &Header,
+        reply: bool,
+        out: &mut Vec<Action>,
+    ) {
         let sender = header.sender;
         let mut address = from;
         match self.table.get_mut(&sender.daemon) {
@@ -62,15 +71,22 @@
                 address = member.record.peer_address;
                 let held = &mut member.record.config_version;
                 *held = (*held).max(header.config_version);
-                if member.state == MemberState::Dead && !member.unlisted {
+                if reply && member.state == MemberState::Dead && !member.unlisted {
                     // A dead member that sends must learn of its record to refute it.
                     let update = member.update();
                     self.send_gossip(from, vec![update], out);
                 }
             }
-            Some(member) if member.record.run > sender => return,
+            Some(member) if member.record.run > sender => {
+                if reply {
+                    let update = member.update();
+                    self.send_gossip(from, vec![update], out);
+                }
+                return;
+            }
             // Its own record comes back with the answer to the digest.
-            _ => self.send_digest(from, false, out),
+            _ if reply => self.send_digest(from, false, out),
+            _ => {}
         }
         if header.config_version > self.me.config_version {
             out.push(Action::NewerVersion {
--- a/crates/corianderworks_decision/tests/fleet/mod.rs
+++ b/crates/corianderworks_decision/tests/fleet/mod.rs
@@ -59,7 +59,7 @@
     pub jitter_ms: u64,
     pub actions: Vec<(Duration, usize, Action)>,
     transit: BTreeMap<(Duration, u64), (usize, usize, Bytes)>,
-    sent: u64,
+    pub sent: u64,
     rng: Pcg64,
 }
 
--- a/crates/corianderworks_decision/tests/membership.rs
+++ b/crates/corianderworks_decision/tests/membership.rs
@@ -6,7 +6,7 @@
 
 use corianderworks_decision::ids::Incarnation;
 use corianderworks_decision::membership::{
-    Action, Event, FORGET_AFTER, MemberState, Membership, SUSPICION,
+    Action, Event, FORGET_AFTER, LABEL_MAX_BYTES, MemberState, Membership, SUSPICION,
 };
 use fleet::{DOMAINS, Fleet, address, key, record};
 
@@ -316,3 +316,33 @@
     }
     assert!(fleet.machines.iter().all(|m| m.me().config_version == 5));
 }
+
+/// Guards against two members that can't accept each other's records and answer each message
+/// with another one: found when a trial without refutation did not end.
+#[test]
+fn members_that_refuse_each_other_do_not_flood() {
+    let mut fleet = Fleet::new(2, 15);
+    for i in 0..2 {
+        let mut invalid = record(i, 1_000);
+        invalid.domain = "x".repeat(LABEL_MAX_BYTES + 1);
+        fleet.machines[i] = Membership::new(invalid, i as u64).with_seeds(vec![address(1 - i)]);
+    }
+    fleet.run(10_000);
+    assert!(fleet.sent <= 100, "{} messages in 10 s", fleet.sent);
+}
+
+/// Guards against suspicions from before a pause that end in a death on waking.
+#[test]
+fn a_suspicion_restarts_after_a_pause() {
+    let mut fleet = Fleet::joined(2, 16);
+    fleet.running[1] = false;
+    while fleet.state(0, 1) != Some(MemberState::Suspect) {
+        fleet.run(100);
+    }
+    fleet.running[0] = false;
+    fleet.run(5_000);
+    fleet.running = vec![true, true];
+    fleet.run(2_000);
+    assert_eq!(fleet.deaths(1).len(), 0);
+    fleet.assert_all_alive();
+}
