--- /dev/null
+++ b/crates/corianderworks_decision/tests/addresses.rs
@@ -0,0 +1,97 @@
+//! The address response as a function of the member view.
+
+use std::collections::BTreeMap;
+
+use corianderworks_decision::addresses::{ADDRESSES_MAX, Entry, addresses};
+use corianderworks_decision::ids::{DaemonKey, ServiceKey};
+use corianderworks_decision::placement::weight;
+
+const SERVICE: ServiceKey = ServiceKey(77);
+
+fn entries(count: u64) -> Vec<Entry> {
+    let entry = |n| Entry {
+        daemon: DaemonKey(n),
+        region: if n % 4 < 2 { "north" } else { "south" }.into(),
+        domain: format!("domain-{}", n % 4),
+        http_address: ([10, 0, 0, n as u8], 8000).into(),
+    };
+    (0..count).map(entry).collect()
+}
+
+fn caller(n: u64) -> u64 {
+    weight(DaemonKey(n), 1)
+}
+
+/// Guards against responses that name a daemon outside the view, name one twice, or begin with
+/// daemons that must relay, for each size of fleet and home set.
+#[test]
+fn a_response_names_live_daemons_once_and_homes_first() {
+    for (members, homes) in [(0, 4), (1, 1), (3, 4), (8, 4), (40, 4), (40, 8), (100, 8)] {
+        let entries = entries(members);
+        // Homes 0, 3, 6, ..; one of them may not be in the view, as when it is leaving.
+        let homes: Vec<DaemonKey> = (0..homes).map(|n| DaemonKey(n * 3)).collect();
+        for domain in [None, Some("domain-1"), Some("unknown")] {
+            let response = addresses(&entries, SERVICE, &homes, domain, caller(members));
+            assert_eq!(response.len(), entries.len().min(ADDRESSES_MAX));
+            let live_homes = homes
+                .iter()
+                .filter(|h| entries.iter().any(|e| e.daemon == **h));
+            let leading = response.iter().take_while(|a| homes.contains(&a.daemon));
+            assert_eq!(leading.count(), live_homes.count());
+            let mut named: Vec<DaemonKey> = response.iter().map(|a| a.daemon).collect();
+            named.sort_unstable();
+            named.dedup();
+            assert_eq!(named.len(), response.len());
+            assert!(response.iter().all(|a| a.weight > 0));
+        }
+    }
+}
+
+/// Guards against far daemons that get as much traffic as near ones.
+#[test]
+fn near_domains_weigh_more() {
+    let homes: Vec<DaemonKey> = (0..4).map(DaemonKey).collect();
+    let response = addresses(&entries(40), SERVICE, &homes, Some("domain-1"), caller(5));
+    let weight_in = |domain: u64| {
+        response
+            .iter()
+            .find(|a| a.daemon.0 % 4 == domain)
+            .map(|a| a.weight)
+    };
+    assert!(weight_in(1) > weight_in(0), "same domain over same region");
+    assert!(
+        weight_in(0) > weight_in(2),
+        "same region over the other region"
+    );
+    let others = &response[4..];
+    assert!(
+        others.iter().all(|a| a.daemon.0 % 4 == 1),
+        "near members fill the other places"
+    );
+}
+
+/// Guards against 40 responses that send their callers to one VM first.
+#[test]
+fn callers_begin_with_different_daemons() {
+    let homes: Vec<DaemonKey> = (0..4).map(DaemonKey).collect();
+    let mut firsts: BTreeMap<DaemonKey, u32> = BTreeMap::new();
+    for n in 0..40 {
+        let response = addresses(&entries(40), SERVICE, &homes, Some("domain-1"), caller(n));
+        *firsts.entry(response[0].daemon).or_default() += 1;
+    }
+    assert_eq!(firsts.len(), 4);
+    assert!(firsts.values().all(|count| *count <= 20), "{firsts:?}");
+}
+
+/// Guards against a response that changes with the order in which members are known.
+#[test]
+fn the_order_of_the_view_does_not_matter() {
+    let homes: Vec<DaemonKey> = (0..4).map(DaemonKey).collect();
+    let mut reversed = entries(40);
+    reversed.reverse();
+    let one = addresses(&entries(40), SERVICE, &homes, Some("domain-2"), caller(9));
+    assert_eq!(
+        one,
+        addresses(&reversed, SERVICE, &homes, Some("domain-2"), caller(9))
+    );
+}
