--- a/crates/corianderworks/src/permits.rs
+++ b/crates/corianderworks/src/permits.rs
@@ -1,5 +1,6 @@
 //! Ejection permits in the platform.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -16,7 +17,9 @@
 use crate::platform::{PlatformClient, WriteOutcome};
 
 /// Time between two looks at the permits of a service while nothing changes.
-const PERIOD: Duration = Duration::from_secs(5);
+const PERIOD: Duration = Duration::from_secs(30);
+/// Time between two looks at the homes of the services.
+const POLL: Duration = Duration::from_millis(500);
 
 /// Permits held for a service.
 pub struct PermitEvent {
@@ -26,6 +29,17 @@
     pub permits: Vec<PermitNumber>,
 }
 
+/// What is kept about the permits of one service.
+#[derive(Default)]
+struct Kept {
+    ledger: PermitLedger,
+    homes: Vec<DaemonKey>,
+    count: u32,
+    looked: Option<tokio::time::Instant>,
+    /// Whether the last look found nothing left to do.
+    settled: bool,
+}
+
 /// Holds permits of the services that this daemon is a home of.
 pub struct PermitKeeper<C>
 where
@@ -53,37 +67,51 @@
 {
     /// Looks after the permits until the daemon stops.
     pub async fn run(self) {
-        let mut ledgers = std::collections::HashMap::<ServiceKey, PermitLedger>::new();
+        let mut services = HashMap::<ServiceKey, Kept>::new();
         let mut leaving = false;
         loop {
-            let view = self.shared.view.load_full();
-            let mut held = 0;
-            for (name, entry) in &view.table.services {
-                let key = ServiceKey::of(name);
-                let Some(place) = view.places.get(&key) else {
-                    continue;
-                };
-                let known = ledgers.contains_key(&key);
-                if !known && !place.is_home(self.me.daemon) {
-                    continue;
-                }
-                let ledger = ledgers.entry(key).or_default();
-                let upstreams = place.backends.len() as u32;
-                let count = permits::permit_count(upstreams, u32::from(entry.floor_percent));
-                let homes = if leaving { &[][..] } else { &place.homes[..] };
-                self.look(name, key, ledger, homes, if leaving { 0 } else { count })
-                    .await;
-                held += ledger.held().len() as u64;
-            }
+            self.look_at_all(&mut services, leaving).await;
+            let held = services
+                .values()
+                .map(|kept| kept.ledger.held().len() as u64)
+                .sum();
             self.held.store(held, Ordering::Relaxed);
             tokio::select! {
-                () = tokio::time::sleep(PERIOD) => {}
+                () = tokio::time::sleep(POLL) => {}
                 () = self.return_all.notified() => leaving = true,
             }
         }
     }
 
-    /// Claims and returns permits of one service.
+    async fn look_at_all(&self, services: &mut HashMap<ServiceKey, Kept>, leaving: bool) {
+        let view = self.shared.view.load_full();
+        for (name, entry) in &view.table.services {
+            let key = ServiceKey::of(name);
+            let Some(place) = view.places.get(&key) else {
+                continue;
+            };
+            if !services.contains_key(&key) && !place.is_home(self.me.daemon) {
+                continue;
+            }
+            let kept = services.entry(key).or_default();
+            let upstreams = place.backends.len() as u32;
+            let count = permits::permit_count(upstreams, u32::from(entry.floor_percent));
+            let (homes, count) = if leaving {
+                (Vec::new(), 0)
+            } else {
+                (place.homes.clone(), count)
+            };
+            let due = kept.looked.is_none_or(|looked| looked.elapsed() >= PERIOD);
+            if !due && kept.settled && (&kept.homes, kept.count) == (&homes, count) {
+                continue;
+            }
+            kept.looked = Some(tokio::time::Instant::now());
+            kept.settled = self.look(name, key, &mut kept.ledger, &homes, count).await;
+            (kept.homes, kept.count) = (homes, count);
+        }
+    }
+
+    /// Claims and returns permits of one service; returns whether nothing is left to do.
     async fn look(
         &self,
         name: &str,
@@ -91,22 +119,26 @@
         ledger: &mut PermitLedger,
         homes: &[DaemonKey],
         count: u32,
-    ) {
+    ) -> bool {
         let path = format!("permits/{name}");
         let Ok(object) = self.platform.read(&path).await else {
-            return;
+            return false;
         };
         let version = object.as_ref().map_or(0, |object| object.version);
         let table: PermitTable = match &object {
             None => PermitTable::default(),
             Some(object) => match serde_json::from_slice(&object.value) {
                 Ok(table) => table,
-                Err(error) => return tracing::warn!("permits: {path} is malformed: {error}"),
+                Err(error) => {
+                    tracing::warn!("permits: {path} is malformed: {error}");
+                    return false;
+                }
             },
         };
         ledger.confirmed(version, &table, self.me);
         let home = self.homes.get(key);
         let mut surplus = permits::surplus(&table, self.me, homes, count);
+        let wants_return = !surplus.is_empty();
         surplus.retain(|permit| {
             home.as_ref()
                 .is_none_or(|home| !home.read(|d, now| d.permit_in_use(now, *permit)))
@@ -121,11 +153,14 @@
             self.report(key, ledger);
             permits::release(&table, self.me, &surplus)
         };
+        // A permit still in use goes back at a later look.
+        let settled = next.is_none() && !wants_return;
         if let Some(next) = next {
             self.write(&path, object.is_some().then_some(version), next, ledger)
                 .await;
         }
         self.report(key, ledger);
+        settled
     }
 
     async fn write(
