Add the command line and the list commands

Cause: operators need to check, read, compare and change the lists, see who changed what, and ask a daemon what it does.

--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -1,1 +1,203 @@
 //! Command line.
+//!
+//! | exit code | meaning |
+//! |---|---|
+//! | 0 | success |
+//! | 1 | the command failed, or a measured promise was missed |
+//! | 2 | invalid command line, lists or settings; nothing was changed |
+//! | 3 | another change was committed first; nothing was changed |
+//! | 4 | the platform or the daemon cannot be reached; nothing was changed |
+//! | 5 | the result of a change is not known; repeat it with its change id |
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Proxy fleet for backend servers with gray failures.
+    cmd corianderworks {
+        /// Run a daemon.
+        cmd daemon {
+            /// Settings of the daemon.
+            required --settings file: PathBuf
+        }
+
+        /// Check, read and change the two lists.
+        cmd lists {
+            /// Check the lists of a folder without contacting the platform.
+            cmd check {
+                /// Folder with customers.json and plans.json.
+                required folder: PathBuf
+                /// Also check the settings of a daemon.
+                optional --settings file: PathBuf
+                /// Print JSON.
+                optional --json
+            }
+
+            /// Write the lists in force into a folder.
+            cmd get {
+                /// Folder for customers.json, plans.json and base-version.
+                required folder: PathBuf
+                /// Address of the platform.
+                required --platform address: SocketAddr
+                /// An older version instead of the one in force.
+                optional --version version: u64
+                /// Print JSON.
+                optional --json
+            }
+
+            /// Show how the lists of a folder, or a version, differ from a version.
+            cmd diff {
+                /// Folder with the new lists; without it, `--to` is needed.
+                optional folder: PathBuf
+                /// Address of the platform.
+                required --platform address: SocketAddr
+                /// First version; the one in force by default.
+                optional --from version: u64
+                /// Second version, instead of a folder.
+                optional --to version: u64
+                /// Print JSON.
+                optional --json
+            }
+
+            /// Put the lists of a folder in force.
+            cmd apply {
+                /// Folder with customers.json, plans.json and base-version.
+                required folder: PathBuf
+                /// Address of the platform.
+                required --platform address: SocketAddr
+                /// Operator who makes the change.
+                required --who name: String
+                /// Why the change is made.
+                required --reason text: String
+                /// Version that was edited, instead of the file base-version.
+                optional --base version: u64
+                /// Id of an earlier attempt whose result is not known.
+                optional --change-id id: String
+                /// Print JSON.
+                optional --json
+            }
+
+            /// List the latest versions, newest first.
+            cmd history {
+                /// Address of the platform.
+                required --platform address: SocketAddr
+                /// Number of versions, 20 by default.
+                optional --limit count: usize
+                /// Print JSON.
+                optional --json
+            }
+        }
+
+        /// Show what a daemon does and knows.
+        cmd status {
+            /// HTTP address of the daemon.
+            required --daemon address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Show what would happen to a request.
+        cmd explain {
+            /// HTTP address of the daemon.
+            required --daemon address: SocketAddr
+            /// Customer who sends the request.
+            required --customer name: String
+            /// Method of the request, GET by default.
+            optional --method method: String
+            /// Path of the request.
+            required --path path: String
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Show who changed what, when and why.
+        cmd audit {
+            /// Address of the platform.
+            required --platform address: SocketAddr
+            /// Only changes by this operator.
+            optional --who name: String
+            /// Only changes whose summary contains this text.
+            optional --about text: String
+            /// Number of changes, 20 by default.
+            optional --limit count: usize
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Run a simulator of an outside system.
+        cmd stand-in {
+            /// Object API and VM list of the platform.
+            cmd platform {
+                /// Address to listen on.
+                required --listen address: SocketAddr
+                /// VM list to start with, as JSON.
+                optional --vms file: PathBuf
+            }
+
+            /// Backend server.
+            cmd backend {
+                /// Address to listen on.
+                required --listen address: SocketAddr
+                /// Service that it belongs to.
+                required --service name: String
+                /// Requests that it runs at once, 2 by default.
+                optional --slots count: u32
+                /// Seed of its random choices.
+                optional --seed seed: u64
+            }
+        }
+
+        /// Send requests and report what happened to them.
+        cmd load {
+            /// HTTP addresses of daemons to start from.
+            repeated --daemon address: SocketAddr
+            /// Folder with the lists that the requests are made from.
+            required --lists folder: PathBuf
+            /// Requests per second.
+            required --rate requests: u32
+            /// Duration in seconds, 10 by default.
+            optional --seconds seconds: u32
+            /// Seed of the random choices.
+            optional --seed seed: u64
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Show the promises under scripted faults in one process.
+        cmd demo {
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Run scripted scenarios against the decision machines.
+        cmd experiment {
+            /// Only scenarios whose name contains this text.
+            optional --only text: String
+            /// Seed of the random choices.
+            optional --seed seed: u64
+            /// Folder for plots.
+            optional --out folder: PathBuf
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Measure the slopes behind the capacity page.
+        cmd capacity {
+            /// Folder for plots.
+            optional --out folder: PathBuf
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Create keys for the connections between daemons.
+        cmd keys {
+            /// Create the fleet's authority, if absent, and keys for daemons.
+            cmd new {
+                /// Folder for the PEM files.
+                required folder: PathBuf
+                /// Names of the daemons.
+                repeated names: String
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderworks/src/reasons.rs
@@ -0,0 +1,133 @@
+//! Reasons of refusals, as sent in `cw-reason`.
+
+use http::StatusCode;
+
+macro_rules! reasons {
+    ($($variant:ident, $name:literal, $status:ident, $outcome:ident, $doc:literal, $advice:literal;)*) => {
+        /// Reason of a refusal.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Reason {
+            $(#[doc = $doc] $variant,)*
+        }
+
+        impl Reason {
+            /// All reasons.
+            pub const ALL: &'static [Self] = &[$(Self::$variant),*];
+
+            /// Returns the value of `cw-reason`.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$variant => $name,)* }
+            }
+
+            /// Returns the HTTP status of the refusal.
+            pub fn status(self) -> StatusCode {
+                match self { $(Self::$variant => StatusCode::$status,)* }
+            }
+
+            /// Returns the value of `cw-outcome`.
+            pub fn outcome(self) -> RefusalOutcome {
+                match self { $(Self::$variant => RefusalOutcome::$outcome,)* }
+            }
+
+            /// Returns what the operator can do.
+            pub fn advice(self) -> &'static str {
+                match self { $(Self::$variant => $advice,)* }
+            }
+        }
+    };
+}
+
+/// Whether a refused request may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalOutcome {
+    /// The request was not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+impl RefusalOutcome {
+    /// Returns the value of `cw-outcome`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+reasons! {
+    NoCustomer, "no-customer", BAD_REQUEST, NotRun,
+        "The request has no valid `cw-customer`.",
+        "The caller must send `cw-customer`.";
+    UnknownCustomer, "unknown-customer", FORBIDDEN, NotRun,
+        "The customer is not in the list.",
+        "Add the customer to customers.json, or correct the name at the caller.";
+    NoRoute, "no-route", NOT_FOUND, NotRun,
+        "No route matches the path and method.",
+        "Compare the path and method with the routes in plans.json.";
+    PlanForbids, "plan-forbids", FORBIDDEN, NotRun,
+        "The customer's plan does not include the route.",
+        "Add the route to the plan's `uses`, or move the customer to another plan.";
+    Rate, "rate", TOO_MANY_REQUESTS, NotRun,
+        "The customer's rate is used up.",
+        "Nothing, or raise `rate_per_s` of the plan if capacity allows.";
+    Concurrency, "concurrency", TOO_MANY_REQUESTS, NotRun,
+        "The customer has too many requests in flight.",
+        "Nothing, or raise `concurrency` of the plan; check whether the service is slow.";
+    QueueFull, "queue-full", SERVICE_UNAVAILABLE, NotRun,
+        "The queue of the service is full.",
+        "The service is overloaded: see `status` for slots in use and ejected upstreams.";
+    Deadline, "deadline", GATEWAY_TIMEOUT, NotRun,
+        "The deadline could not be met, or has passed.",
+        "Check the latency of the service and `timeout_ms` of the route.";
+    Shed, "shed", SERVICE_UNAVAILABLE, NotRun,
+        "Load is shed in favour of plans with a higher priority.",
+        "The service is at its floor: repair or add backend servers.";
+    BackendShed, "backend-shed", SERVICE_UNAVAILABLE, NotRun,
+        "The backend server refused the request before running it.",
+        "Check the load of the backend servers.";
+    NoUpstream, "no-upstream", SERVICE_UNAVAILABLE, NotRun,
+        "No backend server or home of the service can be reached.",
+        "Check the VM list and the partition between domains in `status`.";
+    BackendFailed, "backend-failed", BAD_GATEWAY, Unknown,
+        "The backend server failed after it was given the request.",
+        "Look at the upstream's state in `status`; the caller asks for the key's state.";
+    BackendTimeout, "backend-timeout", GATEWAY_TIMEOUT, Unknown,
+        "The backend server did not respond in time.",
+        "Look at the upstream's state in `status`; the caller asks for the key's state.";
+    RelayLost, "relay-lost", BAD_GATEWAY, Unknown,
+        "The daemon that handled the request was lost.",
+        "Nothing if a VM failed; the caller asks for the key's state.";
+    KeyLost, "key-lost", CONFLICT, Unknown,
+        "The daemon run that issued the key is gone.",
+        "The caller must find out at the service whether the request ran.";
+    KeyRunning, "key-running", CONFLICT, Unknown,
+        "A request with the same key is still running.",
+        "The caller repeats the request later, with the same key.";
+    KeyInvalid, "key-invalid", BAD_REQUEST, NotRun,
+        "The key is malformed or expired.",
+        "The caller must ask for a new key prefix.";
+    ClaimBudget, "claim-budget", SERVICE_UNAVAILABLE, NotRun,
+        "The write budget for keys made by callers is used up.",
+        "Callers should use issued key prefixes; these need no write.";
+    PlatformDown, "platform-down", SERVICE_UNAVAILABLE, NotRun,
+        "A key made by the caller needs the platform, which is down.",
+        "Callers should use issued key prefixes; report the outage of the platform.";
+    NotReady, "not-ready", SERVICE_UNAVAILABLE, NotRun,
+        "The daemon has no configuration yet.",
+        "Check that the daemon reaches a seed or the platform.";
+    Draining, "draining", SERVICE_UNAVAILABLE, NotRun,
+        "The daemon is shutting down.",
+        "Nothing; callers use the next address of their address response.";
+    TooLarge, "too-large", PAYLOAD_TOO_LARGE, NotRun,
+        "The header fields or the body exceed a limit.",
+        "Raise `limits` in the settings if the request is legitimate.";
+}
+
+impl Reason {
+    /// Returns the reason with this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.iter().copied().find(|r| r.name() == name)
+    }
+}
