--- a/crates/corianderworks/src/keys_commands.rs
+++ b/crates/corianderworks/src/keys_commands.rs
@@ -77,6 +77,10 @@
 /// Writes the keys of some daemons, and the authority if there is none.
 pub fn new(flags: &New) -> Result<(), CommandError> {
     let folder = &flags.folder;
+    if let Some(name) = flags.names.iter().find(|name| !is_host_name(name)) {
+        let message = format!("`{name}` is not a name of ASCII letters, digits and `-`");
+        return Err(CommandError::Usage(message));
+    }
     std::fs::create_dir_all(folder).map_err(|error| CommandError::File {
         action: "write",
         path: folder.clone(),
@@ -96,6 +100,12 @@
     Ok(())
 }
 
+/// Names become file names and the names in certificates.
+fn is_host_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
+    !name.is_empty() && name.len() <= 63 && name.bytes().all(allowed)
+}
+
 fn authority(folder: &Path) -> Result<Authority, CommandError> {
     let (certificate, key) = (folder.join(AUTHORITY_FILE), folder.join(AUTHORITY_KEY_FILE));
     if key.exists() {
--- a/crates/corianderworks/src/lists_commands.rs
+++ b/crates/corianderworks/src/lists_commands.rs
@@ -78,6 +78,14 @@
 }
 
 fn check(flags: &Check) -> Result<(), CommandError> {
+    let result = check_files(flags);
+    if let (true, Err(CommandError::Invalid(problems))) = (flags.json, &result) {
+        print(true, &problems.0, "")?;
+    }
+    result
+}
+
+fn check_files(flags: &Check) -> Result<(), CommandError> {
     let lists = read_lists(&flags.folder);
     let settings = flags.settings.as_deref().map(read_settings).transpose();
     let ((customers, plans), settings) = match (lists, settings) {
--- /dev/null
+++ b/crates/corianderworks/tests/platform_client.rs
@@ -0,0 +1,454 @@
+//! Contract of the platform client against a small HTTP fake.
+
+#[allow(dead_code, reason = "the binary crate has no library to link against")]
+#[path = "../src/platform.rs"]
+mod platform;
+
+#[allow(dead_code, reason = "the binary crate has no library to link against")]
+#[path = "../src/list_store.rs"]
+mod list_store;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderworks_lists::apply::{Outcome, Request as Change};
+use corianderworks_lists::parse::{self, Source};
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use platform::{Listed, PlatformClient, PlatformError, Timeouts, VmKind, VmState, WriteOutcome};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const VALUE: &[u8] = b"value";
+
+/// Time limit of a call.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Time that a slow platform takes.
+const SLOW: Duration = Duration::from_millis(1_000);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// Responds after the client's time limit, with full effect.
+    Slow,
+    /// Takes effect and closes the connection without a response.
+    Lost,
+    /// The same for writes only, so that the write reuses a connection.
+    LostWrite,
+    /// Returns version 1 of an object whatever its version is.
+    Stale,
+    /// Returns this status; a server error comes after the effect.
+    Status(u16),
+    /// Declares a longer body than it sends.
+    Truncated,
+    /// Responds without a version.
+    NoVersion,
+    /// Responds with a list that is not JSON.
+    NotJson,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<String, (Bytes, u64)>,
+    calls: u64,
+}
+
+struct Fake {
+    address: SocketAddr,
+    limit: Duration,
+    state: Arc<Mutex<State>>,
+}
+
+impl Fake {
+    /// Serves the platform API with the same fault for every request.
+    async fn start(fault: Fault) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(State::default()));
+        state
+            .lock()
+            .objects
+            .insert("a".to_owned(), (Bytes::from_static(VALUE), 3));
+        let shared = Arc::clone(&state);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = Arc::clone(&shared);
+                tokio::spawn(async move {
+                    if fault == Fault::Truncated {
+                        return truncated(stream, state).await;
+                    }
+                    let service =
+                        service_fn(move |request| respond(Arc::clone(&state), request, fault));
+                    let io = TokioIo::new(stream);
+                    let _ = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(io, service)
+                        .await;
+                });
+            }
+        });
+        // Only the slow fault should reach the limit, even on a busy machine.
+        let slow = fault == Fault::Slow;
+        let limit = if slow { SLOW / 2 } else { LIMIT };
+        Self {
+            address,
+            limit,
+            state,
+        }
+    }
+
+    fn client(&self) -> PlatformClient {
+        client(self.address, self.limit)
+    }
+
+    fn version(&self, path: &str) -> Option<u64> {
+        self.state.lock().objects.get(path).map(|o| o.1)
+    }
+}
+
+fn client(address: SocketAddr, limit: Duration) -> PlatformClient {
+    let timeouts = Timeouts {
+        connect: LIMIT,
+        read: limit,
+        write: limit,
+        watch_margin: limit,
+    };
+    PlatformClient::with_timeouts(address, timeouts)
+}
+
+/// Sends half of the declared body, after the effect of a write.
+async fn truncated(mut stream: tokio::net::TcpStream, state: Arc<Mutex<State>>) {
+    let mut head = [0; 2048];
+    let read = tokio::io::AsyncReadExt::read(&mut stream, &mut head)
+        .await
+        .unwrap();
+    if head[..read].starts_with(b"PUT") {
+        state
+            .lock()
+            .objects
+            .insert("a".to_owned(), (Bytes::new(), 4));
+    }
+    let _ = stream
+        .write_all(b"HTTP/1.1 200 OK\r\netag: \"4\"\r\ncontent-length: 10\r\n\r\nvalue")
+        .await;
+}
+
+#[derive(Debug)]
+struct Closed;
+
+impl std::fmt::Display for Closed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("connection closed")
+    }
+}
+
+impl std::error::Error for Closed {}
+
+async fn respond(
+    state: Arc<Mutex<State>>,
+    request: Request<Incoming>,
+    fault: Fault,
+) -> Result<Response<Full<Bytes>>, Closed> {
+    state.lock().calls += 1;
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Closed)?.to_bytes();
+    let target = parts.uri.path().to_owned();
+    let (kind, path) = target
+        .trim_start_matches('/')
+        .split_once('/')
+        .unwrap_or((&target, ""));
+    if let Fault::Status(status) = fault
+        && status < 500
+    {
+        return Ok(reply(status, None, Bytes::new()));
+    }
+    let response = match (&parts.method, kind) {
+        (&Method::GET, "objects" | "watch") => {
+            let object = state.lock().objects.get(path).cloned();
+            match object {
+                Some((value, version)) => reply(200, Some(if fault == Fault::Stale { 1 } else { version }), value),
+                None => reply(404, None, Bytes::new()),
+            }
+        }
+        (&Method::GET, "list") => list(&state.lock(), path),
+        (&Method::GET, _) => reply(200, None, Bytes::from_static(br#"[{"name":"vm","address":"192.0.2.1:80","region":"r","domain":"d","state":"leaving","kind":"backend","service":"s"}]"#)),
+        _ => write(&state, &parts, path, body),
+    };
+    match fault {
+        Fault::Slow => tokio::time::sleep(SLOW).await,
+        Fault::Lost => return Err(Closed),
+        Fault::LostWrite if parts.method != Method::GET => return Err(Closed),
+        Fault::Status(status) => return Ok(reply(status, None, Bytes::new())),
+        Fault::NoVersion => return Ok(reply(200, None, Bytes::new())),
+        Fault::NotJson => return Ok(reply(200, Some(3), Bytes::from_static(b"<html>"))),
+        _ => {}
+    }
+    Ok(response)
+}
+
+fn list(state: &State, prefix: &str) -> Response<Full<Bytes>> {
+    let objects = state
+        .objects
+        .iter()
+        .filter(|(path, _)| path.starts_with(prefix));
+    let listed: Vec<Listed> = objects
+        .map(|(path, object)| Listed {
+            name: path.clone(),
+            version: object.1,
+        })
+        .collect();
+    reply(200, None, Bytes::from(serde_json::to_vec(&listed).unwrap()))
+}
+
+fn write(
+    state: &Mutex<State>,
+    parts: &http::request::Parts,
+    path: &str,
+    body: Bytes,
+) -> Response<Full<Bytes>> {
+    let mut state = state.lock();
+    let current = state.objects.get(path).map(|o| o.1);
+    let expected = parts
+        .headers
+        .get(header::IF_MATCH)
+        .map(|v| v.to_str().unwrap().trim_matches('"').parse().unwrap());
+    let create = parts
+        .headers
+        .get(header::IF_NONE_MATCH)
+        .is_some_and(|v| v == "*");
+    assert!(create != expected.is_some(), "every write is conditional");
+    if expected != current {
+        return reply(412, None, Bytes::new());
+    }
+    let version = current.unwrap_or(0) + 1;
+    if parts.method == Method::DELETE {
+        state.objects.remove(path);
+        return reply(204, None, Bytes::new());
+    }
+    state.objects.insert(path.to_owned(), (body, version));
+    reply(200, Some(version), Bytes::new())
+}
+
+fn reply(status: u16, version: Option<u64>, body: Bytes) -> Response<Full<Bytes>> {
+    let mut builder = Response::builder().status(status);
+    if let Some(version) = version {
+        builder = builder.header(header::ETAG, format!("\"{version}\""));
+    }
+    builder.body(Full::new(body)).unwrap()
+}
+
+/// Guards against a client that misreads the API of a healthy platform.
+#[tokio::test]
+async fn calls_of_a_healthy_platform() {
+    let fake = Fake::start(Fault::None).await;
+    let client = fake.client();
+    let object = client.read("a").await.unwrap().unwrap();
+    assert_eq!((object.value.as_ref(), object.version), (VALUE, 3));
+    assert_eq!(client.read("none").await.unwrap(), None);
+    assert_eq!(
+        client.create("b", Bytes::new()).await.unwrap(),
+        WriteOutcome::Written(1)
+    );
+    assert_eq!(
+        client.create("b", Bytes::new()).await.unwrap(),
+        WriteOutcome::Conflict
+    );
+    assert_eq!(
+        client.update("a", 3, Bytes::new()).await.unwrap(),
+        WriteOutcome::Written(4)
+    );
+    assert_eq!(
+        client.update("a", 3, Bytes::new()).await.unwrap(),
+        WriteOutcome::Conflict
+    );
+    assert_eq!(client.delete("a", 3).await.unwrap(), WriteOutcome::Conflict);
+    assert_eq!(
+        client.delete("a", 4).await.unwrap(),
+        WriteOutcome::Written(4)
+    );
+    assert_eq!(
+        client
+            .watch("b", 0, Duration::ZERO)
+            .await
+            .unwrap()
+            .unwrap()
+            .version,
+        1
+    );
+    client.create("a", Bytes::new()).await.unwrap();
+    assert_eq!(
+        client.list("a").await.unwrap(),
+        [Listed {
+            name: "a".to_owned(),
+            version: 1
+        }]
+    );
+    let vms = client.vms().await.unwrap();
+    assert_eq!(
+        (vms[0].state, vms[0].kind),
+        (VmState::Leaving, VmKind::Backend)
+    );
+    assert_eq!(client.clone().calls(), 12);
+    assert_eq!(fake.state.lock().calls, 12);
+}
+
+/// Guards against a failed read that looks like a value or an absent object,
+/// and against a failed write that looks applied or not applied when the client
+/// cannot know.
+#[tokio::test]
+async fn faults_of_reads_and_writes() {
+    type Read = fn(&PlatformError) -> bool;
+    let status: Read = |e| matches!(e, PlatformError::Status(_));
+    let timeout: Read = |e| matches!(e, PlatformError::Timeout(_));
+    let connection: Read = |e| matches!(e, PlatformError::Connection(_));
+    let malformed: Read = |e| matches!(e, PlatformError::Malformed(_));
+    // Fault, error of a read, outcome of a write, version of the object after it.
+    let table: [(Fault, Read, Option<WriteOutcome>, u64); 9] = [
+        (Fault::Slow, timeout, Some(WriteOutcome::Unknown), 4),
+        (Fault::Lost, connection, Some(WriteOutcome::Unknown), 4),
+        (Fault::Truncated, connection, Some(WriteOutcome::Unknown), 4),
+        (Fault::NoVersion, malformed, Some(WriteOutcome::Unknown), 4),
+        (Fault::Status(500), status, Some(WriteOutcome::Unknown), 4),
+        (Fault::Status(503), status, Some(WriteOutcome::Unknown), 4),
+        (Fault::Status(412), status, Some(WriteOutcome::Conflict), 3),
+        (Fault::Status(403), status, None, 3),
+        (Fault::Status(429), status, None, 3),
+    ];
+    for (fault, expected, write, version) in table {
+        let fake = Fake::start(fault).await;
+        let error = fake.client().read("a").await.unwrap_err();
+        assert!(expected(&error), "{fault:?}: {error}");
+        let outcome = fake
+            .client()
+            .update("a", 3, Bytes::from_static(b"new"))
+            .await;
+        assert_eq!(outcome.ok(), write, "{fault:?}");
+        assert_eq!(fake.version("a"), Some(version), "{fault:?}");
+    }
+}
+
+/// Guards against a write reported as possibly applied when nothing was sent.
+#[tokio::test]
+async fn platform_down() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client(listener.local_addr().unwrap(), LIMIT);
+    drop(listener);
+    let read = client.read("a").await.unwrap_err();
+    assert!(matches!(read, PlatformError::Unreachable(_)), "{read}");
+    let write = client.create("a", Bytes::new()).await.unwrap_err();
+    assert!(matches!(write, PlatformError::Unreachable(_)), "{write}");
+    let write = client.delete("a", 1).await.unwrap_err();
+    assert!(matches!(write, PlatformError::Unreachable(_)), "{write}");
+}
+
+/// Guards against a stale watch response that moves a reader backwards.
+#[tokio::test]
+async fn stale_watch_is_discarded() {
+    let fake = Fake::start(Fault::Stale).await;
+    assert_eq!(
+        fake.client().watch("a", 2, Duration::ZERO).await.unwrap(),
+        None
+    );
+    let fake = Fake::start(Fault::Status(204)).await;
+    assert_eq!(
+        fake.client().watch("a", 2, Duration::ZERO).await.unwrap(),
+        None
+    );
+}
+
+/// Guards against lists and paths that are not what the API promises.
+#[tokio::test]
+async fn malformed_lists_and_paths() {
+    let client = Fake::start(Fault::NotJson).await.client();
+    assert!(matches!(
+        client.list("a").await,
+        Err(PlatformError::Malformed(_))
+    ));
+    assert!(matches!(
+        client.vms().await,
+        Err(PlatformError::Malformed(_))
+    ));
+    assert!(matches!(
+        client.read("a b").await,
+        Err(PlatformError::Path(_))
+    ));
+}
+
+/// Guards against a write that the HTTP library sends a second time, whose
+/// conflict would hide that the first one was applied.
+#[tokio::test]
+async fn lost_write_on_a_reused_connection_is_sent_once() {
+    let fake = Fake::start(Fault::LostWrite).await;
+    let client = fake.client();
+    client.read("a").await.unwrap();
+    let outcome = client.update("a", 3, Bytes::new()).await.unwrap();
+    assert_eq!(outcome, WriteOutcome::Unknown);
+    assert_eq!((fake.version("a"), fake.state.lock().calls), (Some(4), 2));
+}
+
+fn change(base_version: u64, plan: &str) -> Change {
+    let customers = format!(r#"{{ "customers": {{ "ana": {{ "plan": "{plan}" }} }} }}"#);
+    let plan = r#"{ "priority": 1, "rate_per_s": 1, "concurrency": 1, "uses": {} }"#;
+    let plans = format!(r#"{{ "services": {{}}, "plans": {{ "gold": {plan}, "iron": {plan} }} }}"#);
+    let source = |text| Source { file: "list", text };
+    let (customers, plans) = parse::lists(source(&customers), source(&plans)).unwrap();
+    Change {
+        customers,
+        plans,
+        base_version,
+        change_id: format!("change-{base_version}"),
+        who: "ana".to_owned(),
+        when: jiff::Timestamp::UNIX_EPOCH,
+        reason: "test".to_owned(),
+    }
+}
+
+/// Guards against a commit that works against the in-memory store of the lists
+/// crate but not over HTTP.
+#[tokio::test]
+async fn lists_are_committed_and_read_over_http() {
+    let fake = Fake::start(Fault::None).await;
+    let client = fake.client();
+    for (base, plan) in [(0, "gold"), (1, "iron"), (2, "gold")] {
+        let outcome = list_store::commit(&client, change(base, plan)).await;
+        assert!(
+            matches!(&outcome, Outcome::Applied(a) if a.version == base + 1),
+            "{outcome:?}"
+        );
+    }
+    let outcome = list_store::commit(&client, change(1, "gold")).await;
+    assert!(
+        matches!(&outcome, Outcome::Applied(a) if a.version == 2),
+        "{outcome:?}"
+    );
+    let late = Change {
+        change_id: "late".to_owned(),
+        ..change(1, "iron")
+    };
+    let outcome = list_store::commit(&client, late).await;
+    assert!(
+        matches!(&outcome, Outcome::Outdated { version: 3, .. }),
+        "{outcome:?}"
+    );
+    let snapshot = list_store::snapshot(&client, None).await.unwrap();
+    assert_eq!(
+        (snapshot.version, snapshot.customers),
+        (3, change(0, "gold").customers)
+    );
+    let older = list_store::snapshot(&client, Some(2)).await.unwrap();
+    assert_eq!(older.customers, change(0, "iron").customers);
+    let history = list_store::history(&client, 2).await.unwrap();
+    assert_eq!(
+        history.iter().map(|m| m.version).collect::<Vec<_>>(),
+        [3, 2]
+    );
+    let missing = list_store::manifest_of(&client, Some(9)).await;
+    assert!(matches!(missing, Err(list_store::StoreError::NoVersion(9))));
+}
--- a/crates/corianderworks_lists/src/parse.rs
+++ b/crates/corianderworks_lists/src/parse.rs
@@ -8,13 +8,15 @@
 use std::io;
 use std::path::Path;
 
+use serde::Serialize;
+
 use crate::decode::Reader;
 use crate::lists::{Customers, Plans};
 use crate::settings::Settings;
 use crate::{parse_lists, parse_settings};
 
 /// An error at a place in a file.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// Name of the file, as given by the operator.
     pub file: String,
