Document the lists, add alarms and retire silent connections

Cause: the next person on call needs pages for alarms, refusals and racing edits; a pool of connections that went silent together cost one failed call per connection.

After a call without response the platform client drops all its idle connections.

--- a/crates/corianderworks/src/main.rs
+++ b/crates/corianderworks/src/main.rs
@@ -1,5 +1,6 @@
 //! The corianderworks binary.
 
+mod alarms;
 mod capacity;
 mod cli;
 mod commands;
--- a/crates/corianderworks/src/platform.rs
+++ b/crates/corianderworks/src/platform.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -139,10 +140,13 @@
     }
 }
 
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
 /// Client of the platform; clones share connections and the call counter.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// Replaced together with its idle connections after a call without response.
+    client: Arc<ArcSwap<HttpClient>>,
     address: SocketAddr,
     timeouts: Timeouts,
     calls: Arc<AtomicU64>,
@@ -156,16 +160,8 @@
 
     /// Creates a client with the given time limits.
     pub fn with_timeouts(address: SocketAddr, timeouts: Timeouts) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(timeouts.connect));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
-            .pool_max_idle_per_host(4)
-            .build(connector);
         Self {
-            client,
+            client: Arc::new(ArcSwap::from_pointee(http_client(timeouts.connect))),
             address,
             timeouts,
             calls: Arc::default(),
@@ -305,28 +301,52 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, PlatformError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        match tokio::time::timeout(limit, self.exchange(request)).await {
+        let client = self.client.load_full();
+        let result = match tokio::time::timeout(limit, exchange(&client, request)).await {
             Ok(result) => result,
             Err(_) => Err(PlatformError::Timeout(limit)),
+        };
+        if let Err(PlatformError::Timeout(_) | PlatformError::Connection(_)) = &result {
+            self.retire(&client);
         }
+        result
     }
 
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, PlatformError> {
-        let response = self.client.request(request).await.map_err(|error| {
-            let text = chain(&error);
-            if error.is_connect() {
-                PlatformError::Unreachable(text)
-            } else {
-                PlatformError::Connection(text)
-            }
-        })?;
-        collect(response).await
+    /// Drops the idle connections, as they may have gone silent together. Calls
+    /// in progress keep theirs.
+    fn retire(&self, used: &Arc<HttpClient>) {
+        let fresh = Arc::new(http_client(self.timeouts.connect));
+        // Keeps a newer client that a concurrent call may have set already.
+        self.client.compare_and_swap(used, fresh);
     }
 }
 
+fn http_client(connect_timeout: Duration) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_secs(30))
+        .pool_max_idle_per_host(4)
+        .build(connector)
+}
+
+async fn exchange(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, PlatformError> {
+    let response = client.request(request).await.map_err(|error| {
+        let text = chain(&error);
+        if error.is_connect() {
+            PlatformError::Unreachable(text)
+        } else {
+            PlatformError::Connection(text)
+        }
+    })?;
+    collect(response).await
+}
+
 async fn collect(response: Response<Incoming>) -> Result<Response<Bytes>, PlatformError> {
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, RESPONSE_LIMIT_BYTES)
--- a/crates/corianderworks/src/status_commands.rs
+++ b/crates/corianderworks/src/status_commands.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 
+use crate::alarms::AlarmKind;
 use crate::cli;
 use crate::commands::{CommandError, print};
 use crate::reasons::Reason;
@@ -122,7 +123,8 @@
         (false, None) => "platform not reachable since the start\n".to_owned(),
     };
     for alarm in &status.alarms {
-        text += &format!("ALARM {}: {}\n", alarm.name, alarm.text);
+        let advice = AlarmKind::from_name(&alarm.name).map_or("", AlarmKind::advice);
+        text += &format!("ALARM {}: {}\n  {advice}\n", alarm.name, alarm.text);
     }
     let (members, services, upstreams) = (members(status), services(status), upstreams(status));
     format!("{text}\n{members}\n\n{services}\n\n{upstreams}")
--- a/crates/corianderworks/src/status_types.rs
+++ b/crates/corianderworks/src/status_types.rs
@@ -116,7 +116,7 @@
 /// A condition that needs attention.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Alarm {
-    /// Short name, as in `docs/operators/alarms.md`.
+    /// Name of an [`AlarmKind`](crate::alarms::AlarmKind).
     pub name: String,
     /// What was seen.
     pub text: String,
--- a/crates/corianderworks/tests/platform_client.rs
+++ b/crates/corianderworks/tests/platform_client.rs
@@ -393,6 +393,46 @@
     assert_eq!((fake.version("a"), fake.state.lock().calls), (Some(4), 2));
 }
 
+/// Guards against one failed call per idle connection after all open
+/// connections have gone silent while new ones work.
+#[tokio::test]
+async fn silent_connections_cost_one_call() {
+    const CONNECTIONS: usize = 3;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // Forces one connection per call; each of them answers once.
+    let barrier = Arc::new(tokio::sync::Barrier::new(CONNECTIONS));
+    tokio::spawn(async move {
+        for number in 0.. {
+            let (stream, _) = listener.accept().await.unwrap();
+            let answered = Arc::new(Mutex::new(false));
+            let barrier = Arc::clone(&barrier);
+            let service = service_fn(move |_| {
+                let first = !std::mem::replace(&mut *answered.lock(), true);
+                let barrier = Arc::clone(&barrier);
+                async move {
+                    if number < CONNECTIONS {
+                        if !first {
+                            std::future::pending::<()>().await;
+                        }
+                        barrier.wait().await;
+                    }
+                    Ok::<_, Closed>(reply(200, Some(3), Bytes::new()))
+                }
+            });
+            let io = TokioIo::new(stream);
+            let builder = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(async move { builder.serve_connection(io, service).await });
+        }
+    });
+    let client = client(address, SLOW);
+    let (a, b, c) = tokio::join!(client.read("a"), client.read("a"), client.read("a"));
+    assert!(a.and(b).and(c).is_ok());
+    let silent = client.read("a").await;
+    assert!(matches!(silent, Err(PlatformError::Timeout(_))));
+    assert!(client.read("a").await.is_ok());
+}
+
 fn change(base_version: u64, plan: &str) -> Change {
     let customers = format!(r#"{{ "customers": {{ "ana": {{ "plan": "{plan}" }} }} }}"#);
     let plan = r#"{ "priority": 1, "rate_per_s": 1, "concurrency": 1, "uses": {} }"#;
--- a/crates/corianderworks/tests/telemetry.rs
+++ b/crates/corianderworks/tests/telemetry.rs
@@ -1,5 +1,8 @@
-//! Metrics and reasons of refusals.
+//! Metrics, reasons of refusals and alarms.
 
+#[allow(dead_code, reason = "the binary crate has no library to link against")]
+#[path = "../src/alarms.rs"]
+mod alarms;
 #[allow(dead_code, reason = "the binary crate has no library to link against")]
 #[path = "../src/reasons.rs"]
 mod reasons;
@@ -7,9 +10,9 @@
 #[path = "../src/telemetry.rs"]
 mod telemetry;
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
+use alarms::AlarmKind;
 use reasons::Reason;
 use telemetry::{Direction, Metrics, RequestOutcome};
 
@@ -31,26 +34,33 @@
     insta::assert_snapshot!(metrics.render());
 }
 
+fn page(name: &str) -> String {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operators/");
+    std::fs::read_to_string(format!("{folder}{name}")).unwrap()
+}
+
 /// Guards against a reason that operators cannot look up, and against two
 /// reasons with one name.
 #[test]
 fn every_reason_is_documented() {
-    let path = concat!(
-        env!("CARGO_MANIFEST_DIR"),
-        "/../../docs/operators/refusals.md"
-    );
-    let page = std::fs::read_to_string(path).unwrap();
+    let page = page("refusals.md");
     for reason in Reason::ALL {
-        let row = format!(
-            "| `{}` | {} | {} | {} |",
-            reason.name(),
-            reason.status().as_u16(),
-            reason.outcome().name(),
-            reason.advice()
-        );
+        let (name, status) = (reason.name(), reason.status().as_u16());
+        let (outcome, advice) = (reason.outcome().name(), reason.advice());
+        let row = format!("| `{name}` | {status} | {outcome} | {advice} |");
+        assert!(page.contains(&row), "missing row: {row}");
+        assert_eq!(Reason::from_name(name), Some(*reason));
+    }
+}
+
+/// Guards against an alarm that operators cannot look up, and against two
+/// alarms with one name.
+#[test]
+fn every_alarm_is_documented() {
+    let page = page("alarms.md");
+    for alarm in AlarmKind::ALL {
+        let row = format!("| `{}` | {} |", alarm.name(), alarm.advice());
         assert!(page.contains(&row), "missing row: {row}");
-        assert_eq!(Reason::from_name(reason.name()), Some(*reason));
+        assert_eq!(AlarmKind::from_name(alarm.name()), Some(*alarm));
     }
-    let names: BTreeSet<&str> = Reason::ALL.iter().map(|r| r.name()).collect();
-    assert_eq!(names.len(), Reason::ALL.len());
 }
--- a/crates/corianderworks_lists/tests/apply.rs
+++ b/crates/corianderworks_lists/tests/apply.rs
@@ -379,7 +379,7 @@
     let current = store.manifest().unwrap();
     let kept = current.contents.iter().count() + current.dropped.len();
     assert_eq!(store.chunks(), kept);
-    let oldest = current.version - corianderworks_lists::manifest::KEPT_VERSIONS + 1;
+    let oldest = current.version - corianderworks_lists::manifest::KEPT_VERSIONS;
     for version in oldest..current.version {
         store.snapshot(&store.manifest_of(version).unwrap());
     }
