--- a/crates/corianderworks/src/fleet.rs
+++ b/crates/corianderworks/src/fleet.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 use crate::daemon::{Daemon, DaemonError};
-use crate::tls::{Authority, KeyError};
+use crate::keys_commands::Authority;
 
 /// Share of the backend servers that ejection leaves in service.
 pub const FLOOR_PERCENT: u8 = 70;
@@ -26,8 +26,8 @@
     #[error(transparent)]
     Daemon(#[from] DaemonError),
     /// Keys could not be made.
-    #[error(transparent)]
-    Keys(#[from] KeyError),
+    #[error("keys can't be made: {0}")]
+    Keys(#[from] rcgen::Error),
 }
 
 /// A service of a deployment.
@@ -170,7 +170,7 @@
             backends,
             daemons: Vec::new(),
             keep_s: 2,
-            authority: Authority::new()?,
+            authority: Authority::new()?.0,
             customers,
             plans,
         };
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -1,5 +1,6 @@
 //! Daemon, operator commands and measurements of corianderworks.
 
+pub mod alarms;
 pub mod api;
 pub mod body;
 pub mod capacity;
@@ -16,16 +17,21 @@
 pub mod job;
 pub mod kernel;
 pub mod keys;
+pub mod keys_commands;
 pub mod latency;
+pub mod list_store;
+pub mod lists_commands;
 pub mod peer;
 pub mod peer_service;
 pub mod permits;
 pub mod platform;
 pub mod proxy;
+pub mod reasons;
 pub mod refusal;
 pub mod relay;
+pub mod status_commands;
+pub mod status_types;
 pub mod store;
 pub mod telemetry;
-pub mod tls;
 pub mod upstream;
 pub mod view;
--- a/crates/corianderworks/src/main.rs
+++ b/crates/corianderworks/src/main.rs
@@ -2,34 +2,22 @@
 
 use std::process::ExitCode;
 
+use corianderworks::{cli, commands};
+
 fn main() -> ExitCode {
-    tracing_subscriber::fmt()
-        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
-        .with_writer(std::io::stderr)
-        .init();
-    match std::env::args().nth(1).as_deref() {
-        Some("demo") => {
-            let runtime = tokio::runtime::Runtime::new().expect("the runtime can be started");
-            match runtime.block_on(corianderworks::demo::run(false)) {
-                Ok(true) => ExitCode::SUCCESS,
-                Ok(false) => ExitCode::FAILURE,
-                Err(error) => {
-                    eprintln!("demo: {error}");
-                    ExitCode::FAILURE
-                }
-            }
+    let arguments = cli::Corianderworks::from_env_or_exit();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("error: cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
         }
-        Some("latency") => {
-            let runtime = tokio::runtime::Runtime::new().expect("the runtime can be started");
-            match runtime.block_on(corianderworks::latency::run(5_000, false)) {
-                Ok(true) => ExitCode::SUCCESS,
-                Ok(false) => ExitCode::FAILURE,
-                Err(error) => {
-                    eprintln!("latency: {error}");
-                    ExitCode::FAILURE
-                }
-            }
+    };
+    match runtime.block_on(commands::run(arguments)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            error.exit_code()
         }
-        _ => ExitCode::from(2),
     }
 }
--- a/crates/corianderworks/src/peer.rs
+++ b/crates/corianderworks/src/peer.rs
@@ -22,8 +22,8 @@
 
 use corianderworks_lists::settings::Tls;
 
-/// Name in every daemon's certificate; the fleet's authority vouches for membership.
-pub const CERTIFICATE_NAME: &str = "daemon.corianderworks.internal";
+use crate::keys_commands::FLEET_NAME;
+
 /// Longest time to set up a connection to another daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// A connection without any packet for this long is closed. Idle connections are not kept
@@ -135,7 +135,7 @@
         self.counts.connects.fetch_add(1, Ordering::Relaxed);
         let connecting = self
             .endpoint
-            .connect(to, CERTIFICATE_NAME)
+            .connect(to, FLEET_NAME)
             .map_err(|e| PeerError::Connect(e.to_string()))?;
         tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
