Tell path faults from server faults by reports that cover the failure

Cause: an owner judged with a report of the other owner that was older than its own first failure, and a single background error at the other owner counted as agreement, so a path fault ejected a healthy server. Change: a report counts only when it arrived 100 ms after the first failure; an affected upstream is reported by both owners at every tick; an owner with later successes counts as failing only from 75% of the threshold and two failed requests.

--- a/crates/corianderworks/src/experiment.rs
+++ b/crates/corianderworks/src/experiment.rs
@@ -13,6 +13,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use corianderworks_decision::ids::ServiceKey;
 use fleet::{Run, System};
 use measure::Measures;
 use scenario::{Deployment, SCENARIOS, SERVICES, Scenario, Service};
@@ -150,5 +151,7 @@
         Scenario::Noise => options.noise_load_percent,
         _ => options.load_percent,
     };
-    Run::new(job.system, job.scenario, job.service, job.seed, load, noise).run()
+    // Services of the same size would otherwise repeat the same runs.
+    let seed = job.seed ^ ServiceKey::of(job.service.name).0;
+    Run::new(job.system, job.scenario, job.service, seed, load, noise).run()
 }
--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -21,7 +21,10 @@
             .reported_at
             .is_none_or(|at| now >= at + REPORT_INTERVAL);
         let urgent = |u: &Upstream| {
-            u.standing == Standing::Trial || u.health.score() >= self.weights.threshold * ELEVATED
+            let limit = self.weights.threshold * ELEVATED;
+            // The other owner needs this home's view to tell a path fault from a server fault.
+            let asked = u.peers.values().any(|report| report.view.score >= limit);
+            u.standing == Standing::Trial || u.health.score() >= limit || asked
         };
         let upstreams: Vec<UpstreamEvidence> = self
             .upstreams
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -37,6 +37,13 @@
 const OFFENDER_FACTOR: f64 = 0.7;
 /// Age up to which a peer's report on an upstream counts.
 pub const REPORT_AGE: Duration = Duration::from_millis(1500);
+/// Time after the first failure from which the other owner's report can cover it.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// Share of the threshold that an owner with later successes needs to count as failing: some of
+/// its requests fail without a fault.
+const CONFIRMED: f64 = 0.75;
+/// Failed requests that it needs as well, because one late request has several levels.
+const CONFIRMED_FAILURES: u32 = 2;
 /// Factor on the threshold while the other owner's evidence is unknown.
 const ALONE_FACTOR: f64 = 1.5;
 /// Time for which a second silent connection is evidence against the server.
@@ -413,16 +420,26 @@
         threshold *= OFFENDER_FACTOR;
     }
     let fresh = co_owner.filter(|peer| now.saturating_sub(peer.heard) <= REPORT_AGE);
+    if fresh.is_some_and(|peer| peer.heard < since + REPORT_DELAY) {
+        // The other owner's report is older than the failure, so it cannot confirm or contradict.
+        return Verdict::Fine;
+    }
     let (mut score, mut failures) = (own.score, own.failures);
+    let confirmed = CONFIRMED * weights.threshold;
+    let works_there = fresh.is_some_and(|peer| {
+        let failing = peer.score >= confirmed && peer.failures >= CONFIRMED_FAILURES;
+        !failing && peer.last_success > Some(since)
+    });
+    let works_here = fresh.is_some_and(|peer| {
+        let failing = own.score >= confirmed && own.failures >= CONFIRMED_FAILURES;
+        !failing
+            && peer
+                .first_failure
+                .is_some_and(|at| own.last_success > Some(at))
+    });
     match fresh {
-        Some(peer) if peer.score >= ELEVATED * weights.threshold => {
-            let contradicted = peer.last_success > peer.first_failure;
-            let held_back = if contradicted {
-                0.0
-            } else {
-                own.held_back() + peer.held_back
-            };
-            score += peer.score + held_back;
+        Some(peer) if !works_there && !works_here => {
+            score += peer.score + own.held_back() + peer.held_back;
             failures += peer.failures;
         }
         Some(_) => {}
@@ -438,10 +455,7 @@
     if score < threshold || !enough || !own_share || now < since + span {
         return Verdict::Fine;
     }
-    let works_elsewhere = fresh.is_some_and(|peer| {
-        peer.score < ELEVATED * weights.threshold && peer.last_success > Some(since)
-    });
-    if works_elsewhere {
+    if works_there {
         Verdict::PathFault(evidence)
     } else if siblings.single_out(evidence) {
         Verdict::Unhealthy(evidence)
