--- a/crates/corianderworks_decision/src/ejection.rs
+++ b/crates/corianderworks_decision/src/ejection.rs
@@ -15,6 +15,10 @@
 pub const ANNOUNCE_TTL: Duration = Duration::from_secs(5);
 /// Interval of the renewal.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Announcements of a change that follow each other at once, because datagrams get lost.
+const REPEATS: u32 = 4;
+/// Interval of these.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Current use of a held permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +37,24 @@
     /// The last use may be honoured somewhere until then.
     blocked_until: Duration,
     announced_at: Option<Duration>,
+    /// Announcements since the last change.
+    announced: u32,
+}
+
+impl Held {
+    fn changed(&mut self) {
+        self.announced_at = None;
+        self.announced = 0;
+    }
+
+    fn due(&self, now: Duration) -> bool {
+        let interval = if self.announced < REPEATS {
+            REPEAT_INTERVAL
+        } else {
+            ANNOUNCE_INTERVAL
+        };
+        self.announced_at.is_none_or(|at| now >= at + interval)
+    }
 }
 
 /// Permits that this home holds.
@@ -60,6 +82,7 @@
                 used: None,
                 blocked_until: now + ANNOUNCE_TTL,
                 announced_at: None,
+                announced: 0,
             });
         }
         restored
@@ -115,7 +138,7 @@
             phase: Phase::Out,
             since: now,
         });
-        held.announced_at = None;
+        held.changed();
         Some(*permit)
     }
 
@@ -126,7 +149,7 @@
                 used.phase = phase;
                 used.since = now;
             }
-            held.announced_at = None;
+            held.changed();
         }
     }
 
@@ -136,7 +159,7 @@
             && held.used.take().is_some()
         {
             held.blocked_until = now + ANNOUNCE_TTL;
-            held.announced_at = None;
+            held.changed();
         }
     }
 
@@ -144,13 +167,11 @@
     pub fn due(&mut self, now: Duration, me: DaemonRun) -> Vec<Announcement> {
         let mut due = Vec::new();
         for (permit, held) in &mut self.held {
-            if held
-                .announced_at
-                .is_some_and(|at| now < at + ANNOUNCE_INTERVAL)
-            {
+            if !held.due(now) {
                 continue;
             }
             held.announced_at = Some(now);
+            held.announced += 1;
             self.sequence += 1;
             due.push(Announcement {
                 permit: *permit,
