Count stuck requests at both owners against the server

Cause: evidence that one silent connection could explain was held back even when both owners, which use different connections, were stuck; a stalled server whose slots were full of non-idempotent requests was ejected only at their time-out. A rest of old evidence also dated the new failure back to before it. Change: held-back evidence counts when the other owner has any evidence and no contradiction; two requests that are 32 times later than the median are enough; a rest below half a failure is dropped at the next failure.

--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -23,8 +23,11 @@
         let urgent = |u: &Upstream| {
             let limit = self.weights.threshold * ELEVATED;
             // The other owner needs this home's view to tell a path fault from a server fault.
-            let asked = u.peers.values().any(|report| report.view.score >= limit);
-            u.standing == Standing::Trial || u.health.score() >= limit || asked
+            let affected = |score: f64, held_back: f64| score + held_back >= limit;
+            let mut reports = u.peers.values().map(|report| report.view);
+            let asked = reports.any(|view| affected(view.score, view.held_back));
+            let own = affected(u.health.score(), u.health.held_back());
+            u.standing == Standing::Trial || own || asked
         };
         let upstreams: Vec<UpstreamEvidence> = self
             .upstreams
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -18,7 +18,7 @@
 /// Overdue levels of one request: each is twice as late as the one before.
 pub const LEVEL_MAX: u8 = 6;
 /// Level from which two stuck requests are enough, when no third one can be sent.
-const LEVEL_STUCK: u8 = 5;
+const LEVEL_STUCK: u8 = 4;
 /// Factor on the reference latency from which a response is slow.
 const SLOW_FACTOR: f64 = 4.0;
 /// Factor on the upstream's own usual latency, for servers that are always slower.
@@ -29,6 +29,8 @@
 const SLOW_UNKNOWN: Duration = Duration::from_secs(1);
 /// Evidence older than this without a new failure is dropped.
 const EVIDENCE_AGE: Duration = Duration::from_secs(60);
+/// Share of one failure's weight below which earlier evidence counts as refuted.
+const REMAINDER: f64 = 0.5;
 /// Upper bound of the sum in thresholds, so that a recovered server is not held for long.
 const SCORE_CAP: f64 = 3.0;
 /// Time after which an earlier ejection no longer counts against an upstream.
@@ -200,7 +202,7 @@
 
     /// Records a failure; `first` is false for a further sign on the same request.
     pub fn failure(&mut self, now: Duration, kind: Evidence, weight: f64, first: bool) {
-        self.mark(now, first);
+        self.mark(now, weight, first);
         self.score += weight;
         let part = match kind {
             Evidence::Errors | Evidence::Announced => &mut self.errors,
@@ -218,13 +220,15 @@
         if self.held_back == 0.0 {
             self.failure(now, Evidence::Stalls, weight, first);
         } else {
-            self.mark(now, first);
+            self.mark(now, weight, first);
         }
         self.held_back += weight;
     }
 
-    fn mark(&mut self, now: Duration, first: bool) {
-        if now.saturating_sub(self.last_failure) > EVIDENCE_AGE {
+    fn mark(&mut self, now: Duration, weight: f64, first: bool) {
+        // A remainder of old evidence must not date the new failure back.
+        let remainder = self.score + self.held_back < weight * REMAINDER;
+        if remainder || now.saturating_sub(self.last_failure) > EVIDENCE_AGE {
             self.clear();
         }
         self.first_failure.get_or_insert(now);
@@ -437,9 +441,11 @@
                 .first_failure
                 .is_some_and(|at| own.last_success > Some(at))
     });
+    let mut own_score = own.score;
     match fresh {
-        Some(peer) if !works_there && !works_here => {
-            score += peer.score + own.held_back() + peer.held_back;
+        Some(peer) if !works_there && !works_here && peer.first_failure.is_some() => {
+            own_score += own.held_back();
+            score = own_score + peer.score + peer.held_back;
             failures += peer.failures;
         }
         Some(_) => {}
@@ -451,7 +457,7 @@
         _ => weights.error_span,
     };
     let enough = failures >= weights.failures || (failures >= 2 && own.stuck > 0);
-    let own_share = own.score >= ELEVATED * threshold;
+    let own_share = own_score >= ELEVATED * threshold;
     if score < threshold || !enough || !own_share || now < since + span {
         return Verdict::Fine;
     }
