Take only clearly fast responses as proof that an upstream works

Cause: one response of a 10 times slower server came in under the limit for slowness, was taken as success at that owner and made the failure at the other owner look like a path fault. Change: a response over half of the limit removes half the weight and does not count as a success elsewhere.

--- a/crates/corianderworks_decision/src/dispatch_judge.rs
+++ b/crates/corianderworks_decision/src/dispatch_judge.rs
@@ -35,7 +35,7 @@
                 self.latencies.record(now, latency);
                 if good {
                     let weight = self.failures.success_weight();
-                    entry.health.success(now, latency, weight);
+                    entry.health.success(now, latency, slow_from, weight);
                 } else if entry.view.state == UpstreamState::Live {
                     let levels = f64::from(level.saturating_sub(running.full));
                     let weight = self.slow.failure_weight() * levels;
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -188,10 +188,16 @@
     }
 
     /// Records a complete response in time.
-    pub fn success(&mut self, now: Duration, latency: Duration, weight: f64) {
+    ///
+    /// One that is nearly slow is weaker evidence, and none that the upstream works elsewhere.
+    pub fn success(&mut self, now: Duration, latency: Duration, slow_from: Duration, weight: f64) {
         let sample = latency.as_secs_f64();
         let usual = self.usual_latency.get_or_insert(sample);
         *usual += (sample - *usual) / 500.0;
+        if latency * 2 > slow_from {
+            self.score = (self.score - weight / 2.0).max(0.0);
+            return;
+        }
         self.last_success = Some(now);
         self.held_back = 0.0;
         self.score -= weight;
