Count a sibling as affected only from its second failed request

Cause: a single failed request exceeded the limit for an affected sibling, and at full load several siblings have one within two seconds without any fault, so a 10 times slower server was taken for a shared fault. Change: two failed requests, or one that is stuck, are needed.

--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -258,9 +258,12 @@
     }
 
     /// Limits the sum, so that recovery is noticed soon, and notes whether it is high.
+    ///
+    /// One failed request is too common to count: at full load some sibling always has one.
     pub fn settle(&mut self, now: Duration, threshold: f64) {
         self.score = self.score.min(threshold * SCORE_CAP);
-        if self.score >= threshold * ELEVATED {
+        let several = self.failures >= 2 || self.held_back > 0.0;
+        if several && self.score >= threshold * ELEVATED {
             self.last_elevated = Some(now);
         }
     }
