--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -21,7 +21,13 @@
             .reported_at
             .is_none_or(|at| now >= at + REPORT_INTERVAL);
         let urgent = |u: &Upstream| {
-            u.standing == Standing::Trial || u.health.score() >= self.weights.threshold * ELEVATED
+            let limit = self.weights.threshold * ELEVATED;
+            // The other owner needs this home's view to tell a path fault from a server fault.
+            let affected = |score: f64, held_back: f64| score + held_back >= limit;
+            let mut reports = u.peers.values().map(|report| report.view);
+            let asked = reports.any(|view| affected(view.score, view.held_back));
+            let own = affected(u.health.score(), u.health.held_back());
+            u.standing == Standing::Trial || own || asked
         };
         let upstreams: Vec<UpstreamEvidence> = self
             .upstreams
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -18,7 +18,7 @@
 /// Overdue levels of one request: each is twice as late as the one before.
 pub const LEVEL_MAX: u8 = 6;
 /// Level from which two stuck requests are enough, when no third one can be sent.
-const LEVEL_STUCK: u8 = 5;
+const LEVEL_STUCK: u8 = 4;
 /// Factor on the reference latency from which a response is slow.
 const SLOW_FACTOR: f64 = 4.0;
 /// Factor on the upstream's own usual latency, for servers that are always slower.
@@ -29,6 +29,8 @@
 const SLOW_UNKNOWN: Duration = Duration::from_secs(1);
 /// Evidence older than this without a new failure is dropped.
 const EVIDENCE_AGE: Duration = Duration::from_secs(60);
+/// Share of one failure's weight below which earlier evidence counts as refuted.
+const REMAINDER: f64 = 0.5;
 /// Upper bound of the sum in thresholds, so that a recovered server is not held for long.
 const SCORE_CAP: f64 = 3.0;
 /// Time after which an earlier ejection no longer counts against an upstream.
@@ -37,6 +39,13 @@
 const OFFENDER_FACTOR: f64 = 0.7;
 /// Age up to which a peer's report on an upstream counts.
 pub const REPORT_AGE: Duration = Duration::from_millis(1500);
+/// Time after the first failure from which the other owner's report can cover it.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// Share of the threshold that an owner with later successes needs to count as failing: some of
+/// its requests fail without a fault.
+const CONFIRMED: f64 = 0.75;
+/// Failed requests that it needs as well, because one late request has several levels.
+const CONFIRMED_FAILURES: u32 = 2;
 /// Factor on the threshold while the other owner's evidence is unknown.
 const ALONE_FACTOR: f64 = 1.5;
 /// Time for which a second silent connection is evidence against the server.
@@ -179,10 +188,16 @@
     }
 
     /// Records a complete response in time.
-    pub fn success(&mut self, now: Duration, latency: Duration, weight: f64) {
+    ///
+    /// One that is nearly slow is weaker evidence, and none that the upstream works elsewhere.
+    pub fn success(&mut self, now: Duration, latency: Duration, slow_from: Duration, weight: f64) {
         let sample = latency.as_secs_f64();
         let usual = self.usual_latency.get_or_insert(sample);
         *usual += (sample - *usual) / 500.0;
+        if latency * 2 > slow_from {
+            self.score = (self.score - weight / 2.0).max(0.0);
+            return;
+        }
         self.last_success = Some(now);
         self.held_back = 0.0;
         self.score -= weight;
@@ -193,7 +208,7 @@
 
     /// Records a failure; `first` is false for a further sign on the same request.
     pub fn failure(&mut self, now: Duration, kind: Evidence, weight: f64, first: bool) {
-        self.mark(now, first);
+        self.mark(now, weight, first);
         self.score += weight;
         let part = match kind {
             Evidence::Errors | Evidence::Announced => &mut self.errors,
@@ -211,13 +226,15 @@
         if self.held_back == 0.0 {
             self.failure(now, Evidence::Stalls, weight, first);
         } else {
-            self.mark(now, first);
+            self.mark(now, weight, first);
         }
         self.held_back += weight;
     }
 
-    fn mark(&mut self, now: Duration, first: bool) {
-        if now.saturating_sub(self.last_failure) > EVIDENCE_AGE {
+    fn mark(&mut self, now: Duration, weight: f64, first: bool) {
+        // A remainder of old evidence must not date the new failure back.
+        let remainder = self.score + self.held_back < weight * REMAINDER;
+        if remainder || now.saturating_sub(self.last_failure) > EVIDENCE_AGE {
             self.clear();
         }
         self.first_failure.get_or_insert(now);
@@ -241,9 +258,12 @@
     }
 
     /// Limits the sum, so that recovery is noticed soon, and notes whether it is high.
+    ///
+    /// One failed request is too common to count: at full load some sibling always has one.
     pub fn settle(&mut self, now: Duration, threshold: f64) {
         self.score = self.score.min(threshold * SCORE_CAP);
-        if self.score >= threshold * ELEVATED {
+        let several = self.failures >= 2 || self.held_back > 0.0;
+        if several && self.score >= threshold * ELEVATED {
             self.last_elevated = Some(now);
         }
     }
@@ -413,16 +433,28 @@
         threshold *= OFFENDER_FACTOR;
     }
     let fresh = co_owner.filter(|peer| now.saturating_sub(peer.heard) <= REPORT_AGE);
+    if fresh.is_some_and(|peer| peer.heard < since + REPORT_DELAY) {
+        // The other owner's report is older than the failure, so it cannot confirm or contradict.
+        return Verdict::Fine;
+    }
     let (mut score, mut failures) = (own.score, own.failures);
+    let confirmed = CONFIRMED * weights.threshold;
+    let works_there = fresh.is_some_and(|peer| {
+        let failing = peer.score >= confirmed && peer.failures >= CONFIRMED_FAILURES;
+        !failing && peer.last_success > Some(since)
+    });
+    let works_here = fresh.is_some_and(|peer| {
+        let failing = own.score >= confirmed && own.failures >= CONFIRMED_FAILURES;
+        !failing
+            && peer
+                .first_failure
+                .is_some_and(|at| own.last_success > Some(at))
+    });
+    let mut own_score = own.score;
     match fresh {
-        Some(peer) if peer.score >= ELEVATED * weights.threshold => {
-            let contradicted = peer.last_success > peer.first_failure;
-            let held_back = if contradicted {
-                0.0
-            } else {
-                own.held_back() + peer.held_back
-            };
-            score += peer.score + held_back;
+        Some(peer) if !works_there && !works_here && peer.first_failure.is_some() => {
+            own_score += own.held_back();
+            score = own_score + peer.score + peer.held_back;
             failures += peer.failures;
         }
         Some(_) => {}
@@ -434,14 +466,11 @@
         _ => weights.error_span,
     };
     let enough = failures >= weights.failures || (failures >= 2 && own.stuck > 0);
-    let own_share = own.score >= ELEVATED * threshold;
+    let own_share = own_score >= ELEVATED * threshold;
     if score < threshold || !enough || !own_share || now < since + span {
         return Verdict::Fine;
     }
-    let works_elsewhere = fresh.is_some_and(|peer| {
-        peer.score < ELEVATED * weights.threshold && peer.last_success > Some(since)
-    });
-    if works_elsewhere {
+    if works_there {
         Verdict::PathFault(evidence)
     } else if siblings.single_out(evidence) {
         Verdict::Unhealthy(evidence)
