--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -9,6 +9,11 @@
 //! | 4 | the platform or the daemon cannot be reached; nothing was changed |
 //! | 5 | the result of a change is not known; repeat it with its change id |
 
+#![allow(
+    missing_docs,
+    reason = "xflags generates the types of the commands without docs"
+)]
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
--- a/crates/corianderworks/src/commands.rs
+++ b/crates/corianderworks/src/commands.rs
@@ -10,7 +10,7 @@
 use crate::cli::{Corianderworks, CorianderworksCmd, KeysCmd, StandInCmd};
 use crate::list_store::StoreError;
 use crate::platform::PlatformError;
-use crate::{keys_commands, lists_commands, status_commands};
+use crate::{demo, keys_commands, lists_commands, status_commands};
 
 /// Failure of a command.
 #[derive(Debug, thiserror::Error)]
@@ -93,12 +93,24 @@
             StandInCmd::Backend(_) => not_wired("stand-in backend"),
         },
         CorianderworksCmd::Load(_) => not_wired("load"),
-        CorianderworksCmd::Demo(_) => not_wired("demo"),
+        CorianderworksCmd::Demo(flags) => kept(demo::run(flags.json).await),
         CorianderworksCmd::Experiment(_) => not_wired("experiment"),
         CorianderworksCmd::Capacity(_) => not_wired("capacity"),
     }
 }
 
+/// Turns the result of a measurement with a verdict into that of its command.
+fn kept<E>(result: Result<bool, E>) -> Result<(), CommandError>
+where
+    E: Display,
+{
+    match result {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(CommandError::Failed("a bound was missed".to_owned())),
+        Err(error) => Err(CommandError::Failed(error.to_string())),
+    }
+}
+
 fn not_wired(command: &str) -> Result<(), CommandError> {
     let message = format!("`{command}` is not available in this build");
     Err(CommandError::Failed(message))
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -394,7 +394,9 @@
             }
         };
         let version = stored.snapshot.version;
-        let actions = self.versions.handle(now, VersionEvent::Fetched { version, source });
+        let actions = self
+            .versions
+            .handle(now, VersionEvent::Fetched { version, source });
         if actions.contains(&VersionAction::PutInForce { version }) {
             self.put_in_force(now, stored);
         }
