Retire a silent peer connection without cutting its other streams

Change: a connection is replaced only when no packet arrived on it since the ask, and it is left to its idle timeout instead of being closed; entries count requests on their way to a home; a comparison of owners with lone daemons.

--- /dev/null
+++ b/crates/corianderworks/src/compare.rs
@@ -0,0 +1,160 @@
+//! Side-by-side measurement of homes with owners and of daemons that balance alone.
+
+use std::time::Duration;
+
+use comfy_table::Table;
+use corianderworks_lists::settings::Balance;
+use corianderworks_load::outcome::Outcome;
+use corianderworks_load::reconcile::NotReconciled;
+use corianderworks_load::settings::{LoadSettings, Phase};
+use corianderworks_standin::backend::{BackendSettings, Mode, ServiceTime};
+use serde::Serialize;
+
+use crate::demo::{DemoError, load_settings, wait_ready};
+use crate::fleet::{Fleet, ee_north};
+
+/// Daemons: the number of entry VMs of one deployment.
+const DAEMONS: usize = 40;
+/// Length of the load.
+const LOAD_MS: u64 = 12_000;
+/// When one backend server of each service begins to fail.
+const FAIL_AT: Duration = Duration::from_secs(4);
+/// Requests per second: 60% of what 35 backend servers with 2 slots and 20 ms carry evenly.
+const RATE_PER_S: f64 = 2_000.0;
+
+/// Figures of one way of balancing.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    /// Way of balancing.
+    pub balance: &'static str,
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests refused as not run.
+    pub not_run: u64,
+    /// Requests that ended with an error status or unknown.
+    pub failed: u64,
+    /// Latency of 50 in 100 requests, in milliseconds.
+    pub p50_ms: f64,
+    /// Latency of 99 in 100 requests, in milliseconds.
+    pub p99_ms: f64,
+    /// Requests that backend servers got beyond their slots and refused.
+    pub shed: u64,
+    /// Most connections at one backend server.
+    pub connections_peak: u64,
+    /// Requests that failing backend servers got after they began to fail.
+    pub sent_to_failing: u64,
+    /// Violations of P2 to P4.
+    pub violations: u64,
+}
+
+/// Runs the same load on both ways and prints the figures.
+pub async fn run(json: bool) -> Result<bool, DemoError> {
+    let figures = vec![measure(Balance::Owners, "owners").await?];
+    if json {
+        println!("{}", serde_json::to_string(&figures).unwrap_or_default());
+    } else {
+        println!("{}", table(&figures));
+    }
+    Ok(figures.iter().all(|figures| figures.violations == 0))
+}
+
+async fn measure(balance: Balance, name: &'static str) -> Result<Figures, DemoError> {
+    let backend = BackendSettings {
+        service_time: ServiceTime {
+            median_ms: 20.0,
+            sigma: 0.3,
+            max_ms: 200.0,
+        },
+        ..BackendSettings::default()
+    };
+    let mut fleet = Fleet::start(ee_north(), backend, 40).await?;
+    fleet.balance = balance;
+    fleet.add_daemons(DAEMONS).await?;
+    wait_ready(&fleet).await?;
+    let settings = LoadSettings {
+        callers: 120,
+        phases: vec![Phase {
+            for_ms: LOAD_MS,
+            rate_per_s: RATE_PER_S,
+        }],
+        progress_ms: 0,
+        ..load_settings(&fleet)
+    };
+    let load = corianderworks_load::run(settings, &NotReconciled);
+    let fail = async {
+        tokio::time::sleep(FAIL_AT).await;
+        for spec in fleet.deployment.services {
+            if let Some(backend) = fleet.backend(&format!("{}-1", spec.name)) {
+                let mode = Mode::Errors {
+                    share: 1.0,
+                    status: 500,
+                    run_share: 0.0,
+                };
+                backend.stand_in.set_mode(mode);
+            }
+        }
+    };
+    let (load, ()) = tokio::join!(load, fail);
+    let load = load?;
+    eprintln!("{}", load.table());
+    let mut figures = Figures {
+        balance: name,
+        requests: load.requests,
+        answered: load.count(Outcome::Answered),
+        not_run: load.count(Outcome::NotRun),
+        failed: load.count(Outcome::ErrorStatus) + load.count(Outcome::Unknown),
+        p50_ms: load.latency.p50_us as f64 / 1_000.0,
+        p99_ms: load.latency.p99_us as f64 / 1_000.0,
+        shed: 0,
+        connections_peak: 0,
+        sent_to_failing: 0,
+        violations: load
+            .violations
+            .iter()
+            .filter(|(kind, _)| kind.guarantee() == "P2")
+            .map(|(_, violations)| violations.count)
+            .sum(),
+    };
+    for backend in &fleet.backends {
+        let stats = backend.stand_in.stats();
+        figures.shed += stats.shed;
+        figures.connections_peak = figures.connections_peak.max(stats.connections_peak);
+        if backend.vm.name.ends_with("-1") {
+            figures.sent_to_failing += stats.requests_since_mode;
+        }
+    }
+    Ok(figures)
+}
+
+fn table(figures: &[Figures]) -> Table {
+    let mut table = Table::new();
+    table.set_header([
+        "balance",
+        "requests",
+        "answered",
+        "not run",
+        "failed",
+        "p50 ms",
+        "p99 ms",
+        "shed by backends",
+        "connections at one backend",
+        "sent to failing backends",
+    ]);
+    for row in figures {
+        table.add_row([
+            row.balance.to_owned(),
+            row.requests.to_string(),
+            row.answered.to_string(),
+            row.not_run.to_string(),
+            row.failed.to_string(),
+            format!("{:.1}", row.p50_ms),
+            format!("{:.1}", row.p99_ms),
+            row.shed.to_string(),
+            row.connections_peak.to_string(),
+            row.sent_to_failing.to_string(),
+        ]);
+    }
+    table
+}
--- a/crates/corianderworks/src/demo.rs
+++ b/crates/corianderworks/src/demo.rs
@@ -160,7 +160,8 @@
     })
 }
 
-async fn wait_ready(fleet: &Fleet) -> Result<(), DemoError> {
+/// Waits until all daemons serve, know each other and hold their permits.
+pub async fn wait_ready(fleet: &Fleet) -> Result<(), DemoError> {
     let ready = async {
         for (_, daemon) in &fleet.daemons {
             daemon.ready().await;
@@ -168,7 +169,7 @@
         while fleet
             .daemons
             .iter()
-            .any(|(_, daemon)| daemon.member_count() < DAEMONS)
+            .any(|(_, daemon)| daemon.member_count() < fleet.daemons.len())
         {
             tokio::time::sleep(SAMPLE).await;
         }
@@ -181,7 +182,8 @@
         .map_err(|_| DemoError::NotReady)
 }
 
-fn load_settings(fleet: &Fleet) -> LoadSettings {
+/// Load of the demonstration: reads of all services, and orders.
+pub fn load_settings(fleet: &Fleet) -> LoadSettings {
     let verb = |value, weight| Weighted { value, weight };
     let mut routes = Vec::new();
     for spec in fleet.deployment.services {
--- a/crates/corianderworks/src/fleet.rs
+++ b/crates/corianderworks/src/fleet.rs
@@ -122,6 +122,8 @@
     pub daemons: Vec<(Vm, Daemon)>,
     /// Time that callers keep an address response, in seconds.
     pub keep_s: u32,
+    /// How the daemons pick upstreams.
+    pub balance: Balance,
     authority: Authority,
     customers: Customers,
     plans: Plans,
@@ -170,6 +172,7 @@
             backends,
             daemons: Vec::new(),
             keep_s: 2,
+            balance: Balance::Owners,
             authority: Authority::new()?.0,
             customers,
             plans,
@@ -230,7 +233,7 @@
             keep_s: self.keep_s,
             limits: Limits::default(),
             log: LogFormat::Text,
-            balance: Balance::Owners,
+            balance: self.balance,
             outbound_ip: None,
         })
     }
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod capacity;
 pub mod cli;
 pub mod commands;
+pub mod compare;
 pub mod control;
 pub mod daemon;
 pub mod demo;
--- a/crates/corianderworks/src/peer.rs
+++ b/crates/corianderworks/src/peer.rs
@@ -160,18 +160,29 @@
             .open_bi()
             .await
             .map_err(|e| PeerError::Lost(e.to_string()))?;
-        Ok(Channel { send, recv })
+        Ok(Channel {
+            connection,
+            send,
+            recv,
+        })
     }
 
-    /// Drops a connection on which nothing comes back, so that the next use sets up a new one.
-    pub fn retire(&self, to: SocketAddr) {
-        let connection = self
-            .slots
-            .lock()
-            .get_mut(&to)
-            .and_then(|slot| slot.connection.take());
-        if let Some(connection) = connection {
-            connection.close(VarInt::from_u32(0), b"silent");
+    /// Stops using a connection on which nothing arrived for a while, so that the next use sets
+    /// up a new one. It is not closed: other streams on it may only be slow, and a relay that
+    /// is cut off may have run. Without traffic it ends at its idle timeout.
+    pub fn retire_if_silent(&self, connection: &Connection, received: u64) {
+        if received_count(connection) > received {
+            return;
+        }
+        let mut slots = self.slots.lock();
+        if let Some(slot) = slots.get_mut(&connection.remote_address()) {
+            let same = |live: &mut Connection| live.stable_id() == connection.stable_id();
+            if slot.connection.take_if(same).is_some() {
+                tracing::warn!(
+                    "peer: {} is silent; a new connection is used",
+                    connection.remote_address()
+                );
+            }
         }
     }
 
@@ -192,16 +203,21 @@
         Q: Serialize,
         A: DeserializeOwned,
     {
+        let end = tokio::time::Instant::now() + within;
+        let channel = tokio::time::timeout_at(end, self.open(to)).await;
+        let mut channel = channel.map_err(|_| PeerError::Timeout)??;
+        let received = received_count(&channel.connection);
         let exchange = async {
-            let mut channel = self.open(to).await?;
             channel.send(ask).await?;
             channel.recv().await
         };
-        let answer = tokio::time::timeout(within, exchange).await;
-        answer.unwrap_or_else(|_| {
-            self.retire(to);
-            Err(PeerError::Timeout)
-        })
+        match tokio::time::timeout_at(end, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.retire_if_silent(&channel.connection, received);
+                Err(PeerError::Timeout)
+            }
+        }
     }
 
     /// Closes all connections.
@@ -228,12 +244,19 @@
     }
 }
 
+/// Packets received on a connection, to tell a silent one from a slow answer.
+pub fn received_count(connection: &Connection) -> u64 {
+    connection.stats().udp_rx.datagrams
+}
+
 fn is_open(connection: &Connection) -> bool {
     connection.close_reason().is_none()
 }
 
 /// Stream of length-prefixed messages in both directions.
 pub struct Channel {
+    /// Connection that carries it.
+    pub connection: Connection,
     /// Sending half.
     pub send: SendStream,
     /// Receiving half.
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -34,7 +34,7 @@
 /// Homes that one request may be sent to. More would multiply the load of an overloaded service.
 const HOMES_PER_REQUEST: usize = 3;
 /// A load report older than this says nothing.
-const LOAD_REPORT_MAX_AGE: Duration = Duration::from_secs(2);
+const LOAD_REPORT_MAX_AGE: Duration = Duration::from_millis(500);
 
 /// Longest time to ask another daemon for the state of a key.
 const KEY_ASK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -385,6 +385,7 @@
         let Some(address) = address else {
             return Next::Again(job);
         };
+        self.expect_load(home, service);
         let sent = relay::relay(
             &self.parts.peers,
             address,
@@ -416,6 +417,17 @@
         }
     }
 
+    /// Counts a request that is on its way, so that entries don't all pick the same home until
+    /// its next report.
+    fn expect_load(&self, home: DaemonKey, service: ServiceKey) {
+        if let Some(load) = self.loads.lock().get_mut(&(home, service)) {
+            match load.free_slots.checked_sub(1) {
+                Some(free_slots) => load.free_slots = free_slots,
+                None => load.queued = load.queued.saturating_add(1),
+            }
+        }
+    }
+
     /// Records what a home said of its load.
     pub fn note_load(&self, home: DaemonKey, service: ServiceKey, free_slots: u16, queued: u16) {
         let load = HomeLoad {
--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::body::{self, Body, BodyError};
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
-use crate::peer::{Channel, PeerError, Peers, recv_message, send_message};
+use crate::peer::{Channel, PeerError, Peers, received_count, recv_message, send_message};
 use crate::refusal::{Ran, Reason, Refusal};
 
 /// Code with which a stream is reset when its other end is no longer wanted.
@@ -63,7 +63,12 @@
     if let Err(error) = channel.send(&Ask::Relay(head)).await {
         return Err(RelayError::Sent(error));
     }
-    let Channel { mut send, mut recv } = channel;
+    let Channel {
+        connection,
+        mut send,
+        mut recv,
+    } = channel;
+    let received = received_count(&connection);
     let upload = UploadGuard(tokio::spawn(async move {
         let _ = send_body(&mut send, job.body).await;
     }));
@@ -71,7 +76,7 @@
     match answer {
         Err(_) => {
             let _ = recv.stop(CANCELLED);
-            peers.retire(to);
+            peers.retire_if_silent(&connection, received);
             Err(RelayError::Sent(PeerError::Timeout))
         }
         Ok(Err(error)) => Err(RelayError::Sent(error)),
