--- /dev/null
+++ b/crates/corianderworks_decision/tests/fault_matrix/claims.rs
@@ -0,0 +1,189 @@
+//! A caller-generated key: arrivals alternate between two entries that share the store.
+
+use std::time::Duration;
+
+use corianderworks_decision::claims::*;
+use corianderworks_decision::ids::{DaemonKey, DaemonRun, Incarnation};
+
+use crate::keys::Judge;
+use crate::{Cell, Effect, Fault, Link};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Create,
+    ReadBack,
+    HandOver,
+    Record,
+}
+
+pub fn create(faults: &[Fault]) -> Cell {
+    drive(faults, Step::Create, Link::Platform)
+}
+
+pub fn read_back(faults: &[Fault]) -> Cell {
+    drive(faults, Step::ReadBack, Link::Platform)
+}
+
+pub fn hand_over(faults: &[Fault]) -> Cell {
+    drive(faults, Step::HandOver, Link::Backend)
+}
+
+pub fn record(faults: &[Fault]) -> Cell {
+    drive(faults, Step::Record, Link::Platform)
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    record: Option<(ClaimRecord, u64)>,
+    late: Vec<(ClaimRecord, u64)>,
+}
+
+impl Store {
+    /// Writes a record whose version must be `version`; 0 means that none exists.
+    fn write(&mut self, record: ClaimRecord, version: u64, effect: Effect) -> CreateResult {
+        match effect {
+            Effect::Unavailable => return CreateResult::Unavailable,
+            Effect::RequestLost => return CreateResult::Unknown,
+            Effect::Late => {
+                self.late.push((record, version));
+                return CreateResult::Unknown;
+            }
+            _ => {}
+        }
+        let matches = self.record.map_or(0, |(_, known)| known) == version;
+        if matches {
+            self.record = Some((record, version + 1));
+        }
+        match (effect, matches) {
+            (Effect::ReplyLost, _) => CreateResult::Unknown,
+            (_, true) => CreateResult::Written(version + 1),
+            (_, false) => CreateResult::Conflict,
+        }
+    }
+
+    fn read(&self, effect: Effect) -> ReadResult {
+        match (effect, self.record) {
+            (Effect::None | Effect::Repeated | Effect::Pause, Some((record, version))) => {
+                ReadResult::Found(record, version)
+            }
+            (Effect::None | Effect::Repeated | Effect::Pause, None) => ReadResult::Absent,
+            _ => ReadResult::Unavailable,
+        }
+    }
+}
+
+fn drive(faults: &[Fault], step: Step, link: Link) -> Cell {
+    let mut effects = Vec::new();
+    for fault in faults {
+        match fault.effect(link) {
+            Ok(effect) => effects.push(effect),
+            Err(reason) => return Cell::NotApplicable(reason),
+        }
+    }
+    effects.resize(4, Effect::None);
+    let (mut store, mut judge) = (Store::default(), Judge::default());
+    for (index, effect) in effects.into_iter().enumerate() {
+        if send(&mut store, &mut judge, index as u64, step, effect) {
+            break;
+        }
+        for (record, version) in std::mem::take(&mut store.late) {
+            store.write(record, version, Effect::None);
+        }
+    }
+    judge.cell()
+}
+
+/// Sends the request once; returns whether the caller got a definite answer.
+fn send(store: &mut Store, judge: &mut Judge, index: u64, step: Step, effect: Effect) -> bool {
+    let at = |this| if this == step { effect } else { Effect::None };
+    let mut now = Duration::from_secs(index * 20);
+    let deadline = now + Duration::from_secs(10);
+    let holder = DaemonRun {
+        daemon: DaemonKey(index % 2),
+        incarnation: Incarnation(1),
+    };
+    let attempt = if index == 0 {
+        Attempt::First
+    } else {
+        Attempt::Repeated
+    };
+    let mut machine = ClaimMachine::new(holder, index, 1, attempt, deadline);
+    let mut action = machine.start(now, &mut WriteBudget::new(now, 100, 1));
+    loop {
+        judge.reached |= match action {
+            ClaimAction::Create(_) => step == Step::Create,
+            ClaimAction::Read => step == Step::ReadBack,
+            ClaimAction::Dispatch(_) => step == Step::HandOver,
+            ClaimAction::Record(..) => step == Step::Record,
+            _ => false,
+        };
+        action = match action {
+            ClaimAction::Create(record) => {
+                // A read back needs a create whose response was lost.
+                let lost = step == Step::ReadBack && index == 0;
+                let create = if lost {
+                    Effect::ReplyLost
+                } else {
+                    at(Step::Create)
+                };
+                let result = store.write(record, 0, create);
+                if create == Effect::Repeated {
+                    store.write(record, 0, Effect::None);
+                }
+                match create {
+                    Effect::Gone => return false,
+                    Effect::Pause => now = deadline,
+                    _ => {}
+                }
+                machine.written(result)
+            }
+            ClaimAction::Read => {
+                match at(Step::ReadBack) {
+                    Effect::Gone => return false,
+                    Effect::Pause => now = deadline,
+                    _ => {}
+                }
+                machine.read(now, store.read(at(Step::ReadBack)))
+            }
+            ClaimAction::Dispatch(permission) => {
+                match at(Step::HandOver) {
+                    Effect::Gone => return false,
+                    Effect::Pause => now = deadline,
+                    _ => {}
+                }
+                match machine.handed_over(now, permission) {
+                    HandOver::NotRun(_) => judge.not_run = true,
+                    HandOver::Go(handed) => run(&mut machine, handed, judge, at(Step::HandOver)),
+                }
+                machine.unrecorded()
+            }
+            ClaimAction::Record(record, version) => match at(Step::Record) {
+                // The holder is gone or late before it records; the caller has its answer.
+                Effect::Gone => return judge.done || judge.not_run,
+                effect => machine.written(store.write(record, version, effect)),
+            },
+            ClaimAction::Answer(answer) => {
+                match answer {
+                    ClaimAnswer::Done(_) => judge.done = true,
+                    ClaimAnswer::NotRun(_) => judge.not_run = true,
+                    ClaimAnswer::Held(_) | ClaimAnswer::Unknown => {}
+                }
+                ClaimAction::Nothing
+            }
+            ClaimAction::Nothing => return judge.done || judge.not_run,
+        };
+    }
+}
+
+fn run(machine: &mut ClaimMachine, handed: HandedOver<Claimed>, judge: &mut Judge, effect: Effect) {
+    let outcome = match effect {
+        Effect::Shed => Outcome::NotRun,
+        Effect::RequestLost | Effect::ReplyLost | Effect::Late => Outcome::Unknown,
+        Effect::Error => Outcome::Done(500),
+        _ => Outcome::Done(200),
+    };
+    judge.runs += u32::from(!matches!(effect, Effect::Shed | Effect::RequestLost));
+    judge.done |= matches!(outcome, Outcome::Done(_));
+    judge.not_run |= outcome == Outcome::NotRun;
+    machine.finish(handed, outcome);
+}
