Correct the reason for not granting single requests

Cause: removing the guard by hand failed no test, because credit is deducted before a grant and so keeps the rate usable; the comment claimed otherwise. Change: the comment names the real reason, the savings, and a test checks the ask. Conclusion: behaviour is unchanged.

--- a/crates/corianderworks_decision/src/limits/entry.rs
+++ b/crates/corianderworks_decision/src/limits/entry.rs
@@ -350,7 +350,7 @@
             return None;
         }
         // A customer with at most one request in a lifetime gets no grants: each would expire
-        // unused and halve what the customer may use of its rate.
+        // unused and take from the allowance that its home has saved.
         let demand = self.previous_count.max(self.window_count).saturating_sub(1);
         let left: u32 = self
             .lots
--- a/crates/corianderworks_decision/tests/limits.rs
+++ b/crates/corianderworks_decision/tests/limits.rs
@@ -125,7 +125,8 @@
     assert_eq!(answer.unwrap().allowed, 0);
 }
 
-/// Guards against grants that are spent after the home counts them as expired.
+/// Guards against grants that are spent after the home counts them as expired, and against
+/// grants for a single request, which would expire unused.
 #[test]
 fn grants_expire_counted_from_the_ask() {
     let allowance = Allowance {
@@ -141,7 +142,9 @@
             lifetime_ms: 200,
             retry_after_ms: 0,
         };
-        entry.answered(ms(150), ask.unwrap(), answer);
+        let ask = ask.unwrap();
+        assert_eq!(ask.ask.wanted, 0, "a single request needs no grant");
+        entry.answered(ms(150), ask, answer);
         let (admission, _) = entry.admit(ms(spend_at), CUSTOMER, allowance, HOMES, 1, false);
         let on_grant = matches!(admission, Admission::Admitted(_, Spent::Grant));
         assert_eq!(on_grant, granted, "{spend_at} ms");
