Drive each fault at the repeat of a request that ran

Cause: with the run check of the key table or the first-arrival check of the claim machine removed, no cell of the matrix failed. Change: key and claim cells also start from an arrival that ran without an answer to its caller; a restarted issuer has issued prefixes again.

--- a/crates/corianderworks_decision/tests/fault_matrix/claims.rs
+++ b/crates/corianderworks_decision/tests/fault_matrix/claims.rs
@@ -72,7 +72,17 @@
     }
 }
 
+/// Drives the faults from the first arrival on, and from the repeat of one that ran without
+/// an answer to its caller; the cell shows the first unless the second is a violation.
 fn drive(faults: &[Fault], step: Step, link: Link) -> Cell {
+    match drive_from(faults, step, link, true) {
+        violation @ Cell::Violation(_) => violation,
+        _ => drive_from(faults, step, link, false),
+    }
+}
+
+/// The n-th fault meets the n-th arrival.
+fn drive_from(faults: &[Fault], step: Step, link: Link, repeat: bool) -> Cell {
     let mut effects = Vec::new();
     for fault in faults {
         match fault.effect(link) {
@@ -82,8 +92,13 @@
     }
     effects.resize(4, Effect::None);
     let (mut store, mut judge) = (Store::default(), Judge::default());
+    if repeat {
+        send(&mut store, &mut judge, 0, step, Effect::None);
+        judge.done = false;
+    }
     for (index, effect) in effects.into_iter().enumerate() {
-        if send(&mut store, &mut judge, index as u64, step, effect) {
+        let index = index as u64 + u64::from(repeat);
+        if send(&mut store, &mut judge, index, step, effect) {
             break;
         }
         for (record, version) in std::mem::take(&mut store.late) {
--- a/crates/corianderworks_decision/tests/fault_matrix/keys.rs
+++ b/crates/corianderworks_decision/tests/fault_matrix/keys.rs
@@ -76,8 +76,18 @@
     }
 }
 
-/// The n-th fault meets the n-th arrival; a repeat needs a first arrival without an answer.
+/// Drives the faults from the first arrival on, and from the repeat of one that ran without
+/// an answer to its caller; the cell shows the first unless the second is a violation.
 fn drive(faults: &[Fault], step: Step, link: Link) -> Cell {
+    match drive_from(faults, step, link, true) {
+        violation @ Cell::Violation(_) => violation,
+        repeated if step == Step::Repeat => repeated,
+        _ => drive_from(faults, step, link, false),
+    }
+}
+
+/// The n-th fault meets the n-th arrival.
+fn drive_from(faults: &[Fault], step: Step, link: Link, repeat: bool) -> Cell {
     let mut table = KeyTable::new(run(1), 10);
     let now = Duration::from_secs(1);
     let key = (table.issue(now) + "k").parse().unwrap();
@@ -89,7 +99,7 @@
         judge: Judge::default(),
     };
     let mut effects = Vec::new();
-    if step == Step::Repeat {
+    if repeat {
         effects.push((Step::Respond, Effect::Late));
     }
     for fault in faults {
@@ -211,5 +221,7 @@
 
     fn restart(&mut self) {
         self.table = KeyTable::new(run(self.key.run.incarnation.0 + 1), 10);
+        // The new run issues prefixes too, so the old key is not refused as never issued.
+        self.table.issue(self.now);
     }
 }
