State that an incarnation is used once

Cause: the key table can't tell a key of an earlier run with the same incarnation. Change: a doc comment. Conclusion: the daemon that chooses its incarnation has to ensure it.

--- a/crates/corianderworks_decision/src/claims/table.rs
+++ b/crates/corianderworks_decision/src/claims/table.rs
@@ -124,6 +124,9 @@
 
 impl KeyTable {
     /// Creates the table of a daemon run; a restart has a new incarnation and an empty table.
+    ///
+    /// The incarnation must never be used twice by one daemon: a key of the earlier run would be
+    /// taken for an unused one of this run.
     pub fn new(run: DaemonRun, capacity: usize) -> Self {
         Self {
             run,
