--- a/crates/corianderworks_load/src/recorder.rs
+++ b/crates/corianderworks_load/src/recorder.rs
@@ -72,6 +72,12 @@
         self.0.saturating_record(latency.as_micros() as u64);
     }
 
+    /// Adds the latencies of another recording.
+    pub fn merge(&mut self, other: &Recording) {
+        // Both have the same bounds, so that no value is out of range.
+        let _ = self.0.add(&other.0);
+    }
+
     /// Quantiles so far.
     pub fn latency(&self) -> Latency {
         Latency::from(&self.0)
