--- a/crates/corianderworks_load/src/address.rs
+++ b/crates/corianderworks_load/src/address.rs
@@ -66,6 +66,21 @@
         Ok(parsed)
     }
 
+    /// Response that names these addresses, for a run without the fleet.
+    pub fn direct(addresses: &[SocketAddr]) -> Self {
+        let addresses = addresses.iter().map(|address| Address {
+            name: address.to_string(),
+            address: *address,
+            domain: String::new(),
+            weight: 1,
+        });
+        Self {
+            addresses: addresses.collect(),
+            keep_s: KEEP_LIMIT_S,
+            key_prefix: "direct-".to_owned(),
+        }
+    }
+
     /// Time for which the response may be kept.
     pub fn keep(&self) -> Duration {
         Duration::from_secs(self.keep_s)
--- a/crates/corianderworks_load/src/caller.rs
+++ b/crates/corianderworks_load/src/caller.rs
@@ -255,6 +255,11 @@
     }
 
     async fn fetch(&self, service: &str) -> Option<(Arc<Addresses>, Instant)> {
+        if !self.settings.direct.is_empty() {
+            let addresses = Addresses::direct(&self.settings.direct);
+            let expires = Instant::now() + addresses.keep();
+            return Some((Arc::new(addresses), expires));
+        }
         let daemon = *self.settings.daemons.choose(&mut *self.random.lock())?;
         let domain = &self.domain;
         let uri = format!("http://{daemon}/v1/addresses?service={service}&domain={domain}");
--- a/crates/corianderworks_load/src/settings.rs
+++ b/crates/corianderworks_load/src/settings.rs
@@ -73,6 +73,9 @@
 pub struct LoadSettings {
     /// Daemons that callers ask for addresses.
     pub daemons: Vec<SocketAddr>,
+    /// Backend servers that callers connect to without the fleet, as the
+    /// baseline of a comparison; no addresses are asked for.
+    pub direct: Vec<SocketAddr>,
     /// Callers, each with its own cache and connections.
     pub callers: usize,
     /// Failure domains of the callers, in turn.
@@ -115,6 +118,7 @@
     fn default() -> Self {
         Self {
             daemons: Vec::new(),
+            direct: Vec::new(),
             callers: 8,
             domains: Vec::new(),
             customers: vec!["customer-1".to_owned()],
@@ -161,7 +165,7 @@
     pub fn check(&self) -> Result<(), SettingsError> {
         let weights = |routes: &[RouteMix]| routes.iter().map(|r| u64::from(r.weight)).sum();
         let lists: [(&str, u64); 5] = [
-            ("daemons", self.daemons.len() as u64),
+            ("daemons", (self.daemons.len() + self.direct.len()) as u64),
             ("customers", self.customers.len() as u64),
             ("routes", weights(&self.routes)),
             ("keys", total(&self.keys)),
--- a/crates/corianderworks_load/tests/callers.rs
+++ b/crates/corianderworks_load/tests/callers.rs
@@ -259,6 +259,18 @@
     assert!((0..4).all(|caller| first.iter().any(|p| p.caller == caller)));
 }
 
+/// Guards against a baseline that asks the fleet or is not reconciled.
+#[tokio::test]
+async fn direct_run_needs_no_daemon() {
+    let backend = backend().await;
+    let mut settings = settings(Vec::new(), Verb::Post, 0);
+    settings.direct = vec![backend.address()];
+    let report = run(settings, &vec![backend.clone()]).await.unwrap();
+    assert_eq!(report.count(Outcome::Answered), report.requests);
+    assert_eq!((report.violation_count(), report.address_failures), (0, 0));
+    assert_eq!(backend.stats().started, report.requests);
+}
+
 /// Guards against figures that get lost between a run and its report.
 #[tokio::test]
 async fn report_shows_the_run() {
