Add path faults of a backend server and widen the platform fault matrix

Cause: a path fault, where one owner sees failure and the other success, could not be produced, and the platform matrix covered one read and one write. Change: PathFault gives some client addresses a mode of their own, also in timelines; the matrix runs every fault at all seven calls of the platform. The state of a new connection is read under the lock of the connection table, so that one accepted during a change cannot miss it. Conclusion: path faults and connection faults can be told apart in tests.

--- a/crates/corianderworks_standin/src/backend.rs
+++ b/crates/corianderworks_standin/src/backend.rs
@@ -1,12 +1,13 @@
 //! Stand-in for a backend server.
 
+use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::backend_server::Backend;
-pub use crate::backend_settings::{BackendSettings, HealthReport, Mode, ServiceTime};
+pub use crate::backend_settings::{BackendSettings, HealthReport, Mode, PathFault, ServiceTime};
 pub use crate::backend_stats::{BackendStats, Execution, Executions};
 use crate::control::{Controlled, Side};
 use crate::serve::{Limits, Server};
@@ -77,6 +78,23 @@
         self.server.set_vanished(mode == Mode::Vanished);
     }
 
+    /// Replaces the behaviour towards single clients; for them it takes
+    /// precedence over the mode. Of several faults for a client, the last one
+    /// is in force.
+    pub fn set_path_faults(&self, faults: Vec<PathFault>) {
+        let by_client = faults.iter().flat_map(|fault| {
+            let clients = fault.clients.iter();
+            clients.map(|client| (*client, fault.mode))
+        });
+        let by_client: HashMap<IpAddr, Mode> = by_client.collect();
+        let gone = by_client
+            .iter()
+            .filter(|(_, mode)| **mode == Mode::Vanished);
+        let gone = gone.map(|(client, _)| *client).collect();
+        self.backend.state.lock().paths = by_client;
+        self.server.set_unreachable_from(gone);
+    }
+
     /// Behaviour in force.
     pub fn mode(&self) -> Mode {
         self.backend.state.lock().mode
--- a/crates/corianderworks_standin/src/backend_server.rs
+++ b/crates/corianderworks_standin/src/backend_server.rs
@@ -1,5 +1,7 @@
 //! Processing of requests by the backend stand-in.
 
+use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) mode: Mode,
+    pub(crate) paths: HashMap<IpAddr, Mode>,
     pub(crate) mode_since: Instant,
     pub(crate) drain_since: Option<Instant>,
     pub(crate) started: Instant,
@@ -88,6 +91,7 @@
             slots: Arc::new(Semaphore::new(settings.slots)),
             state: Mutex::new(State {
                 mode: settings.mode,
+                paths: HashMap::new(),
                 mode_since: now,
                 drain_since: None,
                 started: now,
@@ -124,7 +128,9 @@
         let mut factor = self.cold_factor(state.started.elapsed());
         let random = &mut state.random;
         let mut hit = |share: f64| random.random_bool(share.clamp(0.0, 1.0));
-        match state.mode {
+        let path = state.paths.get(&connection.peer.ip());
+        let mode = path.copied().unwrap_or(state.mode);
+        match mode {
             Mode::Healthy | Mode::Vanished => {}
             Mode::Errors {
                 share,
@@ -149,7 +155,7 @@
                 }
             }
             Mode::Flap { .. } => {
-                if is_flapped_down(state.mode, state.mode_since.elapsed()) {
+                if is_flapped_down(mode, state.mode_since.elapsed()) {
                     drawn.fail_before = Some(StatusCode::INTERNAL_SERVER_ERROR);
                 }
             }
--- a/crates/corianderworks_standin/src/backend_settings.rs
+++ b/crates/corianderworks_standin/src/backend_settings.rs
@@ -1,6 +1,6 @@
 //! Settings and gray failure modes of the backend stand-in.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -88,6 +88,16 @@
     Vanished,
 }
 
+/// Mode that only some clients see, as with a fault of the path to them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PathFault {
+    /// Addresses of the affected clients.
+    pub clients: Vec<IpAddr>,
+    /// Behaviour towards them.
+    pub mode: Mode,
+}
+
 /// Settings of the backend stand-in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/corianderworks_standin/src/fault.rs
+++ b/crates/corianderworks_standin/src/fault.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep_until};
 
-use crate::backend::{BackendStandIn, Mode};
+use crate::backend::{BackendStandIn, Mode, PathFault};
 use crate::platform::{PlatformFault, PlatformStandIn};
 
 /// One kind of fault.
@@ -21,6 +21,8 @@
     Platform(PlatformFault),
     /// Mode of a backend server.
     Backend(Mode),
+    /// Mode of a backend server towards some clients only.
+    Path(PathFault),
     /// A backend server drains.
     Drain,
     /// The open connections of a backend server go silent for good; the
@@ -267,6 +269,11 @@
         if mode != self.mode() {
             self.set_mode(mode);
         }
+        let paths = change.active.iter().filter_map(|fault| match fault {
+            Fault::Path(path) => Some(path.clone()),
+            _ => None,
+        });
+        self.set_path_faults(paths.collect());
         if change.active.contains(&Fault::Drain) {
             self.start_drain();
         } else {
--- a/crates/corianderworks_standin/src/serve.rs
+++ b/crates/corianderworks_standin/src/serve.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 and HTTP/2 server whose connections can go silent.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -88,6 +88,7 @@
     next: AtomicU64,
     connections: Mutex<HashMap<u64, Served>>,
     vanished: AtomicBool,
+    unreachable_from: Mutex<HashSet<IpAddr>>,
     peak: AtomicUsize,
     refused: AtomicU64,
     accepted: AtomicU64,
@@ -118,6 +119,7 @@
             next: AtomicU64::new(0),
             connections: Mutex::default(),
             vanished: AtomicBool::new(false),
+            unreachable_from: Mutex::default(),
             peak: AtomicUsize::new(0),
             refused: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
@@ -170,6 +172,16 @@
         }
     }
 
+    /// Replaces the clients whose connections, open and new, are silent.
+    pub(crate) fn set_unreachable_from(&self, clients: HashSet<IpAddr>) {
+        *self.shared.unreachable_from.lock() = clients.clone();
+        for (connection, _) in self.shared.connections.lock().values() {
+            if clients.contains(&connection.peer.ip()) {
+                connection.silent.store(true, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Sends GOAWAY on every HTTP/2 connection. HTTP/1.1 connections end with
     /// `connection: close` on their next response instead: closing an idle one
     /// could cut off a request that is on its way.
@@ -206,6 +218,10 @@
 }
 
 impl Shared {
+    fn is_silent_for(&self, client: IpAddr) -> bool {
+        self.vanished.load(Ordering::Relaxed) || self.unreachable_from.lock().contains(&client)
+    }
+
     fn open(&self) -> usize {
         let connections = self.connections.lock();
         connections
@@ -231,15 +247,17 @@
         shared.peak.fetch_max(open + 1, Ordering::Relaxed);
         let _ = stream.set_nodelay(true);
         let id = shared.next.fetch_add(1, Ordering::Relaxed);
+        // Silenced connections are found in the table, so the state is read
+        // under its lock.
+        let mut connections = shared.connections.lock();
         let connection = Arc::new(Connection {
             peer,
-            silent: AtomicBool::new(shared.vanished.load(Ordering::Relaxed)),
+            silent: AtomicBool::new(shared.is_silent_for(peer.ip())),
             http2: AtomicBool::new(false),
             go_away: Notify::new(),
             requests: AtomicU64::new(0),
             responded: Notify::new(),
         });
-        let mut connections = shared.connections.lock();
         let task = tokio::spawn(serve_connection(
             id,
             stream,
--- a/crates/corianderworks_standin/tests/backend.rs
+++ b/crates/corianderworks_standin/tests/backend.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use corianderworks_standin::backend::{
-    BackendSettings, BackendStandIn, BackendStats, HealthReport, Mode, ServiceTime,
+    BackendSettings, BackendStandIn, BackendStats, HealthReport, Mode, PathFault, ServiceTime,
 };
 use corianderworks_standin::body::SeededBytes;
 use support::{Answer, Http, any, is_pending, soon};
@@ -346,6 +346,34 @@
     );
 }
 
+/// Guards against a path fault that other clients see too, or that outlasts
+/// its end.
+#[tokio::test]
+async fn path_faults_affect_their_clients_only() {
+    let backend = start(settings()).await;
+    let near = Http::http1(backend.address());
+    let far = || Http::from_address(backend.address(), [127, 0, 0, 9]);
+    let before = far();
+    assert_eq!(soon(before.get("/x")).await.unwrap().status, 200);
+    let fault = |mode| PathFault {
+        clients: vec![[127, 0, 0, 9].into()],
+        mode,
+    };
+    backend.set_path_faults(vec![fault(Mode::Flap {
+        up_ms: 0,
+        down_ms: 1,
+    })]);
+    assert_eq!(soon(before.get("/x")).await.unwrap().status, 500);
+    assert_eq!(soon(near.get("/x")).await.unwrap().status, 200);
+    backend.set_path_faults(vec![fault(Mode::Vanished)]);
+    for cut in [before, far()] {
+        assert!(is_pending(cut.get("/x"), Duration::from_millis(200)).await);
+    }
+    assert_eq!(soon(near.get("/x")).await.unwrap().status, 200);
+    backend.set_path_faults(vec![]);
+    assert_eq!(soon(far().get("/x")).await.unwrap().status, 200);
+}
+
 /// Guards against a silent connection that recovers or shows an error, and
 /// against new connections that are silent too.
 #[tokio::test]
--- a/crates/corianderworks_standin/tests/fault.rs
+++ b/crates/corianderworks_standin/tests/fault.rs
@@ -102,6 +102,8 @@
         r#"[
         {"at_ms": 0, "target": "b", "fault": {"kind": "backend", "mode": "slow", "factor": 2.0}},
         {"at_ms": 5, "target": "b", "fault": {"kind": "drain"}},
+        {"at_ms": 5, "target": "b", "fault": {"kind": "path", "clients": ["127.0.0.9"],
+         "mode": {"mode": "errors", "share": 1.0, "status": 500, "run_share": 0.0}}},
         {"at_ms": 5, "target": "p", "fault": {"kind": "platform", "outage": true}}
     ]"#,
     );
@@ -116,6 +118,8 @@
         soon(http.get("/x")).await.unwrap().header("cw-drain"),
         Some("1")
     );
+    let far = Http::from_address(backend.address(), [127, 0, 0, 9]);
+    assert_eq!(soon(far.get("/x")).await.unwrap().status, 500);
     let mut ending = begin.clone();
     for event in &mut ending.events {
         event.for_ms = Some(10);
@@ -123,6 +127,7 @@
     soon(ending.run(&targets)).await.unwrap();
     assert_eq!((backend.mode(), platform.faults()), (Mode::Healthy, vec![]));
     assert_eq!(soon(http.get("/x")).await.unwrap().header("cw-drain"), None);
+    assert_eq!(soon(far.get("/x")).await.unwrap().status, 200);
 }
 
 /// Guards against a timeline in the settings that never runs.
--- a/crates/corianderworks_standin/tests/platform.rs
+++ b/crates/corianderworks_standin/tests/platform.rs
@@ -217,8 +217,8 @@
     assert_eq!(taken(&mut budget, 8_000, 0), 0);
 }
 
-/// Every fault at a read and at a write: what the caller sees and whether the
-/// write took effect. Guards against a fault that hides its effect.
+/// Every fault at every call: what the caller sees and whether a write took
+/// effect. Guards against a fault that hides its effect.
 #[tokio::test]
 async fn fault_matrix() {
     #[derive(Debug, PartialEq, Clone, Copy)]
@@ -310,25 +310,43 @@
     ];
     let check = async |(name, fault, on_read, on_write, effect)| {
         let (platform, http) = start(PlatformSettings::default()).await;
-        platform.write("r", "old");
+        let version = if_match(platform.write("r", "old"));
+        platform.write("d", "old");
+        let stored = if_match(platform.read("d").expect("just written").0);
         platform.set_fault(fault);
-        let observe = async |method, path| {
+        let observe = async |method, path, headers: &[(&str, &str)], expected| {
             // Far above the duration of any call that is answered.
             let wait = Duration::from_secs(2);
-            let call = http.send(method, path, &[CREATE], "new");
-            match tokio::time::timeout(wait, call).await {
+            let call = http.send(method, path, headers, "new");
+            let seen = match tokio::time::timeout(wait, call).await {
                 Err(_) => Seen::Nothing,
                 Ok(Err(_)) => Seen::Closed,
                 Ok(Ok(answer)) => Seen::Status(answer.status.as_u16()),
-            }
+            };
+            assert_eq!(seen, expected, "{name}: {method} {path}");
         };
-        assert_eq!(observe("GET", "/objects/r").await, on_read, "{name}: read");
-        assert_eq!(
-            observe("PUT", "/objects/w").await,
-            on_write,
-            "{name}: write"
+        let reads = [
+            "/objects/r",
+            "/watch/r?after=0&wait_ms=50",
+            "/list/",
+            "/vms",
+        ];
+        let reads = reads.map(|path| observe("GET", path, &[], on_read));
+        let update = [("if-match", version.as_str())];
+        let delete = [("if-match", stored.as_str())];
+        tokio::join!(
+            futures_util::future::join_all(reads),
+            observe("PUT", "/objects/w", &[CREATE], on_write),
+            observe("PUT", "/objects/r", &update, on_write),
+            observe("DELETE", "/objects/d", &delete, on_write),
         );
-        assert_eq!(platform.read("w").is_some(), effect, "{name}: effect");
+        let new = platform.read("r").expect("never deleted").1 == "new";
+        let effects = [
+            platform.read("w").is_some(),
+            new,
+            platform.read("d").is_none(),
+        ];
+        assert_eq!(effects, [effect; 3], "{name}: effects");
         platform.set_fault(PlatformFault::default());
         let fresh = Http::http1(platform.address());
         let after = soon(fresh.get("/objects/r")).await.unwrap();
--- a/crates/corianderworks_standin/tests/support/mod.rs
+++ b/crates/corianderworks_standin/tests/support/mod.rs
@@ -59,6 +59,14 @@
         Self { client, address }
     }
 
+    /// Client that connects from another loopback address.
+    pub fn from_address(address: SocketAddr, local: [u8; 4]) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(Some(local.into()));
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { client, address }
+    }
+
     /// Sends a request; `Err` is a failed connection or an incomplete body.
     pub async fn send(
         &self,
