Measure the capacity of membership

Cause: the design states 4 KB/s, 2.4% of a core and 64 MB per daemon at 430 daemons, and no figure showed what membership takes of them.

--- a/crates/corianderworks_decision/src/membership.rs
+++ b/crates/corianderworks_decision/src/membership.rs
@@ -240,6 +240,24 @@
         self.generation
     }
 
+    /// Approximate memory of the tables in bytes, with a third for the free space in the nodes
+    /// of the maps.
+    pub fn state_bytes(&self) -> usize {
+        let labels = |r: &MemberRecord| r.name.len() + r.region.len() + r.domain.len();
+        let key = size_of::<DaemonKey>();
+        let members: usize = self
+            .table
+            .values()
+            .map(|m| key + size_of::<Member>() + labels(&m.record))
+            .sum();
+        let listed: usize = self
+            .listed
+            .values()
+            .map(|vm| key + size_of::<ListedVm>() + vm.name.len())
+            .sum();
+        size_of::<Self>() + (members + listed) * 4 / 3 + self.queue.state_bytes()
+    }
+
     fn records<F>(&self, wanted: F) -> impl Iterator<Item = &MemberRecord>
     where
         F: Fn(MemberState) -> bool,
--- a/crates/corianderworks_decision/src/membership/queue.rs
+++ b/crates/corianderworks_decision/src/membership/queue.rs
@@ -30,6 +30,11 @@
         self.entries.retain(|entry| entry.daemon != daemon);
     }
 
+    /// Memory of the entries in bytes.
+    pub(super) fn state_bytes(&self) -> usize {
+        self.entries.capacity() * size_of::<Entry>()
+    }
+
     /// Whether news has not yet been pushed often enough.
     pub(super) fn wants_push(&self) -> bool {
         self.entries.iter().any(|entry| entry.sent < PUSH_SENDS)
