--- /dev/null
+++ b/crates/corianderworks_decision/tests/queue.rs
@@ -0,0 +1,132 @@
+//! Guards the queue order, its bound, and the refusal of late requests (section 2.5).
+
+use std::time::Duration;
+
+use corianderworks_decision::dispatch_types::{RequestView, Ticket};
+use corianderworks_decision::ids::CustomerKey;
+use corianderworks_decision::queue::{Pushed, Queue};
+use proptest::prelude::*;
+
+fn request(ticket: u64, customer: u64, priority: u8, deadline_ms: u64) -> RequestView {
+    RequestView {
+        ticket: Ticket(ticket),
+        customer: CustomerKey(customer),
+        priority,
+        deadline: Duration::from_millis(deadline_ms),
+        idempotent: true,
+        tried: Vec::new(),
+    }
+}
+
+fn queue(bound: usize, requests: &[(u64, u64, u8)]) -> Queue {
+    let mut queue = Queue::default();
+    queue.set_bound(bound);
+    for &(ticket, customer, priority) in requests {
+        let pushed = queue.push(Duration::ZERO, request(ticket, customer, priority, 1000));
+        assert_eq!(pushed, Pushed::Queued);
+    }
+    queue
+}
+
+fn order(mut queue: Queue) -> Vec<u64> {
+    std::iter::from_fn(|| queue.take_if(|_| true).map(|q| q.request.ticket.0)).collect()
+}
+
+/// Guards against a customer with many requests delaying one with few, and against a lower
+/// priority being served first.
+#[test]
+fn serves_by_priority_then_by_turns() {
+    let cases: [(&[(u64, u64, u8)], &[u64]); 4] = [
+        (&[(1, 1, 0), (2, 1, 0), (3, 2, 0)], &[1, 3, 2]),
+        (&[(1, 1, 0), (2, 2, 5), (3, 1, 5)], &[2, 3, 1]),
+        (
+            &[(1, 1, 1), (2, 1, 1), (3, 1, 1), (4, 2, 1), (5, 3, 1)],
+            &[1, 4, 5, 2, 3],
+        ),
+        (&[(1, 1, 0), (2, 1, 9), (3, 1, 4)], &[2, 3, 1]),
+    ];
+    for (requests, expected) in cases {
+        assert_eq!(order(queue(10, requests)), expected, "{requests:?}");
+    }
+}
+
+/// Guards against an unbounded queue and against one customer occupying all of it.
+#[test]
+fn a_full_queue_replaces_only_less_entitled_requests() {
+    let full: &[(u64, u64, u8)] = &[(1, 1, 1), (2, 1, 1), (3, 1, 1), (4, 2, 1)];
+    let cases = [
+        (request(9, 3, 2, 1000), Pushed::Replaced(Ticket(3))),
+        (request(9, 3, 1, 1000), Pushed::Replaced(Ticket(3))),
+        (request(9, 2, 1, 1000), Pushed::Replaced(Ticket(3))),
+        (request(9, 1, 1, 1000), Pushed::Full),
+        (request(9, 3, 0, 1000), Pushed::Full),
+    ];
+    for (arrival, expected) in cases {
+        let mut queue = queue(4, full);
+        assert_eq!(
+            queue.push(Duration::ZERO, arrival.clone()),
+            expected,
+            "{arrival:?}"
+        );
+        assert_eq!(queue.len(), 4);
+    }
+}
+
+/// Guards against running a request that cannot be answered in time.
+#[test]
+fn late_requests_are_taken_out() {
+    let mut queue = Queue::default();
+    queue.set_bound(10);
+    for (ticket, deadline) in [(1, 100), (2, 150), (3, 151)] {
+        queue.push(Duration::ZERO, request(ticket, 1, 0, deadline));
+    }
+    let now = Duration::from_millis(100);
+    let needed = Duration::from_millis(50);
+    let late = std::iter::from_fn(|| queue.take_late(now, needed)).map(|q| q.request.ticket.0);
+    assert_eq!(late.collect::<Vec<_>>(), [1, 2]);
+    assert_eq!(queue.len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x5EED),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a request that is lost or served twice, and against a wrong length.
+    #[test]
+    fn every_request_leaves_exactly_once(
+        steps in prop::collection::vec((0..4_u8, 0..4_u64, 0..3_u8), 1..200),
+    ) {
+        let mut queue = Queue::default();
+        queue.set_bound(6);
+        let mut inside = std::collections::BTreeSet::new();
+        for (ticket, (step, customer, priority)) in steps.into_iter().enumerate() {
+            let ticket = Ticket(ticket as u64);
+            match step {
+                0 | 1 => match queue.push(Duration::ZERO, request(ticket.0, customer, priority, 9)) {
+                    Pushed::Queued => prop_assert!(inside.insert(ticket)),
+                    Pushed::Replaced(other) => {
+                        prop_assert!(inside.remove(&other));
+                        prop_assert!(inside.insert(ticket));
+                    }
+                    Pushed::Full => prop_assert_eq!(queue.len(), 6),
+                },
+                2 => {
+                    let taken = queue.take_if(|q| q.request.customer.0 == customer);
+                    prop_assert!(taken.is_none_or(|q| inside.remove(&q.request.ticket)));
+                }
+                _ => {
+                    let first = inside.first().copied();
+                    let removed = first.and_then(|t| queue.remove(t));
+                    prop_assert_eq!(removed.map(|q| q.request.ticket), inside.pop_first());
+                }
+            }
+            prop_assert_eq!(queue.len(), inside.len());
+            prop_assert!(queue.len() <= 6);
+        }
+        let rest: std::collections::BTreeSet<_> = order(queue).into_iter().map(Ticket).collect();
+        prop_assert_eq!(rest, inside);
+    }
+}
