Demand errors over a span, and a majority of fast siblings for slowness

Cause: in 24 h of noise a 100 ms burst of errors was judged 200 ms after its first failure although nothing failed any more, and a service-wide slowdown by 3 passed because two siblings had one fast response by chance. Change: errors must last from the first to the last failure; slowness needs responses of at least four siblings (or all), of which two thirds were fast last.

--- a/crates/corianderworks_decision/src/dispatch_judge.rs
+++ b/crates/corianderworks_decision/src/dispatch_judge.rs
@@ -124,18 +124,19 @@
                 && !matches!(u.standing, Standing::Ejected | Standing::Trial)
         });
         for (_, entry) in others {
-            let own = entry.health.last_success();
             let reports = entry.peers.values();
-            let last = reports
-                .clone()
-                .filter_map(|r| r.view.last_success)
-                .chain(own)
-                .max();
+            let views = || reports.clone().map(|r| r.view);
+            let own = &entry.health;
+            let success = views().map(|v| v.last_success).chain([own.last_success()]);
+            let success = success.max().flatten();
+            let slow = views().map(|v| v.last_slow).chain([own.last_slow()]);
+            let slow = slow.max().flatten();
             let fresh = |heard: Duration| now.saturating_sub(heard) <= health::REPORT_AGE;
             let elevated = entry.health.elevated(now)
                 || reports.clone().any(|r| r.elevated && fresh(r.view.heard));
             siblings.total += 1;
-            siblings.good += u32::from(last > Some(since));
+            siblings.known += u32::from(success.max(slow) > Some(since));
+            siblings.good += u32::from(success > Some(since) && success >= slow);
             siblings.elevated += u32::from(elevated);
         }
         siblings
--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -58,6 +58,7 @@
             failures: health.failures(),
             failing_for_ms: health.first_failure().map(age),
             success_age_ms: health.last_success().map(age),
+            slow_age_ms: health.last_slow().map(age),
             elevated: health.elevated(now),
             trials_passed: entry.trial.passed,
             trial_failed: entry.trial.failed,
@@ -86,6 +87,7 @@
                 failures: evidence.failures,
                 first_failure: evidence.failing_for_ms.map(ago),
                 last_success: evidence.success_age_ms.map(ago),
+                last_slow: evidence.slow_age_ms.map(ago),
             };
             let trial = Trial {
                 running: false,
--- a/crates/corianderworks_decision/src/dispatch_types.rs
+++ b/crates/corianderworks_decision/src/dispatch_types.rs
@@ -238,6 +238,8 @@
     pub failing_for_ms: Option<u32>,
     /// Age of the last complete, timely response.
     pub success_age_ms: Option<u32>,
+    /// Age of the last response or sign that was not clearly fast.
+    pub slow_age_ms: Option<u32>,
     /// True when the score is high or was a moment ago.
     pub elevated: bool,
     /// Successful trial requests since the trial began.
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -29,6 +29,8 @@
 const SLOW_UNKNOWN: Duration = Duration::from_secs(1);
 /// Evidence older than this without a new failure is dropped.
 const EVIDENCE_AGE: Duration = Duration::from_secs(60);
+/// Siblings that must have responded before slowness counts as one upstream's own.
+const SIBLINGS_KNOWN: u32 = 4;
 /// Share of one failure's weight below which earlier evidence counts as refuted.
 const REMAINDER: f64 = 0.5;
 /// Upper bound of the sum in thresholds, so that a recovered server is not held for long.
@@ -156,6 +158,7 @@
     first_failure: Option<Duration>,
     last_failure: Duration,
     last_success: Option<Duration>,
+    last_slow: Option<Duration>,
     last_elevated: Option<Duration>,
     usual_latency: Option<f64>,
     retired_until: Option<Duration>,
@@ -195,6 +198,7 @@
         let usual = self.usual_latency.get_or_insert(sample);
         *usual += (sample - *usual) / 500.0;
         if latency * 2 > slow_from {
+            self.last_slow = Some(now);
             self.score = (self.score - weight / 2.0).max(0.0);
             return;
         }
@@ -210,6 +214,9 @@
     pub fn failure(&mut self, now: Duration, kind: Evidence, weight: f64, first: bool) {
         self.mark(now, weight, first);
         self.score += weight;
+        if matches!(kind, Evidence::Slowness | Evidence::Stalls) {
+            self.last_slow = Some(now);
+        }
         let part = match kind {
             Evidence::Errors | Evidence::Announced => &mut self.errors,
             Evidence::Stalls => &mut self.stalls,
@@ -343,9 +350,9 @@
         self.last_success
     }
 
-    /// Usual latency, for reports.
-    pub fn usual_latency(&self) -> Duration {
-        Duration::from_secs_f64(self.usual_latency.unwrap_or(0.0))
+    /// Last response or sign that was not clearly fast.
+    pub fn last_slow(&self) -> Option<Duration> {
+        self.last_slow
     }
 
     /// The kind that contributed most.
@@ -376,6 +383,8 @@
     pub first_failure: Option<Duration>,
     /// Last success.
     pub last_success: Option<Duration>,
+    /// Last response or sign that was not clearly fast.
+    pub last_slow: Option<Duration>,
 }
 
 /// What the siblings of an upstream show since its first failure.
@@ -383,7 +392,9 @@
 pub struct Siblings {
     /// Other upstreams in use.
     pub total: u32,
-    /// Those with a good response since then.
+    /// Those with any response since then.
+    pub known: u32,
+    /// Those whose last response since then was good.
     pub good: u32,
     /// Those with evidence of failure of their own.
     pub elevated: u32,
@@ -397,7 +408,8 @@
     fn single_out(self, evidence: Evidence) -> bool {
         match evidence {
             Evidence::Slowness | Evidence::Stalls => {
-                self.elevated * 3 <= self.total && self.good >= self.total.min(2)
+                let known = self.known >= self.total.min(SIBLINGS_KNOWN);
+                self.elevated * 3 <= self.total && known && self.good * 3 >= self.known * 2
             }
             _ => self.elevated * 2 <= self.total && self.good >= self.total.min(1),
         }
@@ -467,13 +479,22 @@
     };
     let enough = failures >= weights.failures || (failures >= 2 && own.stuck > 0);
     let own_share = own_score >= ELEVATED * threshold;
-    if score < threshold || !enough || !own_share || now < since + span {
+    // Successes after the last failure end a hiccup, however strong its evidence was.
+    let ended = own.last_success > Some(own.last_failure);
+    let lasted = match evidence {
+        // A stuck request goes on failing until it ends; an error is over at once.
+        Evidence::Slowness | Evidence::Stalls if !ended => now - since,
+        _ => own.last_failure - since,
+    };
+    if score < threshold || !enough || !own_share || lasted < span {
         return Verdict::Fine;
     }
     if works_there {
         Verdict::PathFault(evidence)
     } else if siblings.single_out(evidence) {
         Verdict::Unhealthy(evidence)
+    } else if siblings.known < siblings.total.min(SIBLINGS_KNOWN) {
+        Verdict::Fine
     } else {
         Verdict::Shared
     }
--- /dev/null
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -0,0 +1,270 @@
+//! Guards the verdict on an upstream (section 2.4), in a table of faults.
+
+use std::time::Duration;
+
+use corianderworks_decision::dispatch_types::{Evidence, Prefer};
+use corianderworks_decision::health::{
+    PeerView, Siblings, UpstreamHealth, UsualRate, Verdict, Weights, verdict,
+};
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+const SLOW_FROM: Duration = ms(100);
+const SIBLINGS: Siblings = Siblings {
+    total: 7,
+    known: 7,
+    good: 7,
+    elevated: 0,
+};
+
+/// What happens at one owner every 20 ms.
+#[derive(Debug, Clone, Copy)]
+enum Request {
+    Good,
+    Fails(Evidence),
+    /// Silence on a connection that may alone be at fault.
+    Silent,
+}
+
+fn health(requests: &[Request]) -> (UpstreamHealth, Duration) {
+    let rate = UsualRate::default();
+    let mut health = UpstreamHealth::default();
+    let mut now = ms(1000);
+    for request in requests {
+        now += ms(20);
+        match request {
+            Request::Good => health.success(now, ms(20), SLOW_FROM, rate.success_weight()),
+            Request::Fails(kind) => health.failure(now, *kind, rate.failure_weight(), true),
+            Request::Silent => health.silence(now, rate.failure_weight(), true),
+        }
+    }
+    (health, now)
+}
+
+fn peer(now: Duration, score: f64, failures: u32, success: Duration) -> PeerView {
+    PeerView {
+        heard: now,
+        score,
+        held_back: 0.0,
+        failures,
+        first_failure: (failures > 0).then_some(ms(1010)),
+        last_success: Some(success),
+        last_slow: None,
+    }
+}
+
+fn repeat(request: Request, count: usize) -> Vec<Request> {
+    vec![request; count]
+}
+
+/// Guards against missing a failing server, and against ejecting a healthy one: by a path fault,
+/// one connection, a hiccup, a shared fault, or too few requests.
+#[test]
+fn verdicts_by_fault() {
+    use Evidence::{Errors, Slowness, Stalls, Truncation};
+    use Request::{Fails, Good, Silent};
+    let errors = repeat(Fails(Errors), 15);
+    let hiccup = [repeat(Fails(Errors), 5), repeat(Good, 1)].concat();
+    let half = [Fails(Errors), Fails(Errors), Good].repeat(10);
+    let idle = |now| Some(peer(now, 0.0, 0, ms(900)));
+    let works = |now| Some(peer(now, 0.0, 0, now));
+    let fails = |now| Some(peer(now, 60.0, 9, ms(900)));
+    let one_error = |now| Some(peer(now, 5.5, 1, now));
+    let half_there = |now| Some(peer(now, 16.0, 4, now));
+    let unknown = |_| None;
+    type Peer<'a> = &'a dyn Fn(Duration) -> Option<PeerView>;
+    let affected = Siblings {
+        elevated: 5,
+        ..SIBLINGS
+    };
+    let silent_siblings = Siblings {
+        known: 0,
+        good: 0,
+        ..SIBLINGS
+    };
+    let slow_siblings = Siblings {
+        good: 2,
+        ..SIBLINGS
+    };
+    let stalls = repeat(Fails(Stalls), 25);
+    let slow = repeat(Fails(Slowness), 25);
+    let truncated = repeat(Fails(Truncation), 15);
+    let cases: [(&str, Vec<Request>, Peer, Siblings, Verdict); 17] = [
+        ("healthy", repeat(Good, 20), &works, SIBLINGS, Verdict::Fine),
+        (
+            "errors, other idle",
+            errors.clone(),
+            &idle,
+            SIBLINGS,
+            Verdict::Unhealthy(Errors),
+        ),
+        (
+            "errors, both",
+            errors.clone(),
+            &fails,
+            SIBLINGS,
+            Verdict::Unhealthy(Errors),
+        ),
+        (
+            "errors, alone",
+            errors.clone(),
+            &unknown,
+            SIBLINGS,
+            Verdict::Unhealthy(Errors),
+        ),
+        (
+            "errors, other works",
+            errors.clone(),
+            &works,
+            SIBLINGS,
+            Verdict::PathFault(Errors),
+        ),
+        (
+            "one error there",
+            errors.clone(),
+            &one_error,
+            SIBLINGS,
+            Verdict::PathFault(Errors),
+        ),
+        (
+            "half fail at both",
+            half.clone(),
+            &half_there,
+            SIBLINGS,
+            Verdict::Unhealthy(Errors),
+        ),
+        (
+            "half fail here",
+            half,
+            &idle,
+            SIBLINGS,
+            Verdict::Unhealthy(Errors),
+        ),
+        ("shared errors", errors, &fails, affected, Verdict::Shared),
+        ("hiccup", hiccup, &idle, SIBLINGS, Verdict::Fine),
+        (
+            "two errors",
+            repeat(Fails(Errors), 2),
+            &fails,
+            SIBLINGS,
+            Verdict::Fine,
+        ),
+        (
+            "truncation",
+            truncated,
+            &idle,
+            SIBLINGS,
+            Verdict::Unhealthy(Truncation),
+        ),
+        (
+            "stalls",
+            stalls.clone(),
+            &fails,
+            SIBLINGS,
+            Verdict::Unhealthy(Stalls),
+        ),
+        (
+            "one connection",
+            repeat(Silent, 25),
+            &idle,
+            SIBLINGS,
+            Verdict::Fine,
+        ),
+        (
+            "connections at both",
+            repeat(Silent, 25),
+            &fails,
+            SIBLINGS,
+            Verdict::Unhealthy(Stalls),
+        ),
+        (
+            "slow siblings",
+            slow,
+            &fails,
+            slow_siblings,
+            Verdict::Shared,
+        ),
+        (
+            "nothing known of siblings",
+            stalls,
+            &fails,
+            silent_siblings,
+            Verdict::Fine,
+        ),
+    ];
+    let weights = Weights::of(Prefer::Detection);
+    for (name, requests, co_owner, siblings, expected) in cases {
+        let (health, now) = health(&requests);
+        let found = verdict(now, &weights, &health, co_owner(now), siblings);
+        assert_eq!(found, expected, "{name}");
+    }
+}
+
+/// Guards against judging by a report that is older than the failure.
+#[test]
+fn an_old_report_neither_confirms_nor_contradicts() {
+    let (health, now) = health(&repeat(Request::Fails(Evidence::Errors), 15));
+    let weights = Weights::of(Prefer::Detection);
+    let at = |heard| PeerView {
+        heard,
+        ..peer(now, 0.0, 0, ms(900))
+    };
+    let judge = |heard| verdict(now, &weights, &health, Some(at(heard)), SIBLINGS);
+    assert_eq!(judge(ms(1100)), Verdict::Fine);
+    assert_eq!(judge(ms(1130)), Verdict::Unhealthy(Evidence::Errors));
+}
+
+/// Guards against a preference that changes nothing: stability must wait for more evidence.
+#[test]
+fn stability_needs_more_evidence_than_detection() {
+    let needed = |prefer| {
+        let weights = Weights::of(prefer);
+        (1..100).find(|count| {
+            let (health, now) = health(&repeat(Request::Fails(Evidence::Errors), *count));
+            let found = verdict(now, &weights, &health, None, SIBLINGS);
+            found == Verdict::Unhealthy(Evidence::Errors)
+        })
+    };
+    assert!(needed(Prefer::Detection) < needed(Prefer::Stability));
+}
+
+/// Guards against penalties that do not grow, or grow without bound.
+#[test]
+fn penalties_grow_to_a_cap() {
+    for prefer in [Prefer::Detection, Prefer::Stability] {
+        let weights = Weights::of(prefer);
+        let penalties: Vec<Duration> = (1..40).map(|n| weights.penalty_of(n)).collect();
+        assert!(penalties.is_sorted());
+        assert!(penalties[0] < penalties[1]);
+        assert_eq!(penalties.last(), Some(&weights.penalty_max));
+        assert!(weights.trials_of(1) < weights.trials_of(3));
+    }
+}
+
+/// Guards against taking a slow but usual upstream, or an early one, for overdue.
+#[test]
+fn levels_double_from_the_slow_limit() {
+    let cases = [
+        (99, 0),
+        (100, 1),
+        (199, 1),
+        (200, 2),
+        (400, 3),
+        (800, 4),
+        (60_000, 6),
+    ];
+    for (latency, level) in cases {
+        assert_eq!(
+            UpstreamHealth::level(ms(latency), SLOW_FROM),
+            level,
+            "{latency}"
+        );
+    }
+    let mut always_slower = UpstreamHealth::default();
+    assert_eq!(always_slower.slow_from(Some(ms(25))), ms(100));
+    always_slower.success(ms(0), ms(60), ms(1000), 1.0);
+    assert_eq!(always_slower.slow_from(Some(ms(25))), ms(180));
+    assert_eq!(always_slower.slow_from(None), ms(1000));
+}
--- a/crates/corianderworks_decision/tests/queue.rs
+++ b/crates/corianderworks_decision/tests/queue.rs
@@ -36,7 +36,9 @@
 /// priority being served first.
 #[test]
 fn serves_by_priority_then_by_turns() {
-    let cases: [(&[(u64, u64, u8)], &[u64]); 4] = [
+    // Arrivals as ticket, customer and priority; then the tickets in order of service.
+    type Case<'a> = (&'a [(u64, u64, u8)], &'a [u64]);
+    let cases: [Case; 4] = [
         (&[(1, 1, 0), (2, 1, 0), (3, 2, 0)], &[1, 3, 2]),
         (&[(1, 1, 0), (2, 2, 5), (3, 1, 5)], &[2, 3, 1]),
         (
