End a suspicion after a few good responses in a row

Cause: the new dispatcher test left an upstream marked as a path fault for more than 8 s after the path recovered: it gets one request a second, and each good response removes only a tenth of a failure's weight.

--- a/crates/corianderworks_decision/src/dispatch_judge.rs
+++ b/crates/corianderworks_decision/src/dispatch_judge.rs
@@ -149,12 +149,19 @@
         upstream: UpstreamKey,
         actions: &mut Vec<Action>,
     ) {
-        let Some(entry) = self.upstreams.get(&upstream) else {
+        let Some(entry) = self.upstreams.get_mut(&upstream) else {
             return;
         };
+        if entry.suspected.is_some() && entry.health.streak() >= self.weights.trials {
+            // It receives one request a second, too few to work off the sum of the evidence.
+            entry.health.clear();
+        }
         let Some(since) = entry.health.first_failure() else {
             return self.clear_suspicion(now, upstream, actions);
         };
+        let Some(entry) = self.upstreams.get(&upstream) else {
+            return;
+        };
         let excluded = matches!(entry.standing, Standing::Ejected | Standing::Trial);
         if excluded || !entry.routable() {
             return;
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -155,6 +155,7 @@
     truncated: f64,
     failures: u32,
     stuck: u32,
+    streak: u32,
     first_failure: Option<Duration>,
     last_failure: Duration,
     last_success: Option<Duration>,
@@ -203,6 +204,7 @@
             return;
         }
         self.last_success = Some(now);
+        self.streak += 1;
         self.held_back = 0.0;
         self.score -= weight;
         if self.score <= 0.0 {
@@ -246,6 +248,7 @@
         }
         self.first_failure.get_or_insert(now);
         self.last_failure = now;
+        self.streak = 0;
         self.failures += u32::from(first);
     }
 
@@ -340,6 +343,11 @@
         self.stuck
     }
 
+    /// Good responses since the last failure.
+    pub fn streak(&self) -> u32 {
+        self.streak
+    }
+
     /// First failure of the current evidence.
     pub fn first_failure(&self) -> Option<Duration> {
         self.first_failure
