Split the verdict and the experiment's request handling into modules

Change: verdict.rs holds the weighing of both owners and the siblings, experiment/traffic.rs the life of a request; no behaviour changes.

--- a/crates/corianderworks/src/experiment.rs
+++ b/crates/corianderworks/src/experiment.rs
@@ -7,6 +7,7 @@
 mod report;
 mod scenario;
 mod servers;
+mod traffic;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/crates/corianderworks/src/experiment/fleet.rs
+++ b/crates/corianderworks/src/experiment/fleet.rs
@@ -18,26 +18,20 @@
 
 use super::measure::Measures;
 use super::scenario::{Change, SPIKE, Scenario, Script, Service, script};
-use super::servers::{Active, Ending, SERVICE_TIME, Sent, Server};
+use super::servers::{Active, SERVICE_TIME, Server};
 
 /// Entry VMs of each deployment.
 pub const ENTRIES: usize = 40;
 /// Homes of each service.
-const HOMES: usize = 4;
+pub(super) const HOMES: usize = 4;
 /// Interval of `tick`.
 const TICK: Duration = Duration::from_millis(50);
 /// Delay of a message between homes.
 const MESSAGE_DELAY: Duration = Duration::from_millis(1);
 /// Share of messages between homes that are lost.
 const MESSAGE_LOSS: f64 = 0.01;
-/// Time until a caller gives up.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time of a probe on a new connection.
 const PROBE_TIME: Duration = Duration::from_millis(25);
-/// Time after which no new request may go to a server that drains (P5).
-const DRAIN_TARGET: Duration = Duration::from_secs(3);
-/// Customers of a service.
-const CUSTOMERS: u64 = 20;
 
 /// Which scheduler runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
@@ -50,14 +44,14 @@
 }
 
 #[derive(Debug)]
-enum Message {
+pub(super) enum Message {
     Evidence(DaemonKey, EvidenceReport),
     Announce(Announcement),
     AskEject(DaemonKey, UpstreamKey),
 }
 
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive,
     Done(u64, Outcome),
     Deadline(Ticket),
@@ -89,20 +83,20 @@
     }
 }
 
-enum Daemon {
+pub(super) enum Daemon {
     Home(Box<Dispatcher>),
     Alone(Baseline),
 }
 
 impl Daemon {
-    fn schedule(&mut self) -> &mut dyn Schedule {
+    pub(super) fn schedule(&mut self) -> &mut dyn Schedule {
         match self {
             Self::Home(home) => home.as_mut(),
             Self::Alone(alone) => alone,
         }
     }
 
-    fn home(&mut self) -> Option<&mut Dispatcher> {
+    pub(super) fn home(&mut self) -> Option<&mut Dispatcher> {
         match self {
             Self::Home(home) => Some(home),
             Self::Alone(_) => None,
@@ -110,66 +104,66 @@
     }
 }
 
-struct Node {
-    daemon: Daemon,
-    load: Load,
-    connections: Vec<Duration>,
-    out: BTreeSet<usize>,
+pub(super) struct Node {
+    pub(super) daemon: Daemon,
+    pub(super) load: Load,
+    pub(super) connections: Vec<Duration>,
+    pub(super) out: BTreeSet<usize>,
 }
 
-struct Request {
-    view: RequestView,
-    arrived: Duration,
-    node: usize,
-    refused_at: Vec<usize>,
-    attempts: Vec<u64>,
-    ran: u32,
+pub(super) struct Request {
+    pub(super) view: RequestView,
+    pub(super) arrived: Duration,
+    pub(super) node: usize,
+    pub(super) refused_at: Vec<usize>,
+    pub(super) attempts: Vec<u64>,
+    pub(super) ran: u32,
 }
 
-struct Attempt {
-    ticket: Ticket,
-    node: usize,
-    server: usize,
-    lease: Lease,
-    sent: Duration,
+pub(super) struct Attempt {
+    pub(super) ticket: Ticket,
+    pub(super) node: usize,
+    pub(super) server: usize,
+    pub(super) lease: Lease,
+    pub(super) sent: Duration,
 }
 
 /// One run.
 pub struct Run {
-    system: System,
+    pub(super) system: System,
     scenario: Scenario,
-    service: Service,
-    clock: ManualClock,
-    rng: Pcg64Mcg,
+    pub(super) service: Service,
+    pub(super) clock: ManualClock,
+    pub(super) rng: Pcg64Mcg,
     events: BinaryHeap<Reverse<Due>>,
     order: u64,
-    nodes: Vec<Node>,
+    pub(super) nodes: Vec<Node>,
     owners: Vec<Vec<usize>>,
-    servers: Vec<Server>,
+    pub(super) servers: Vec<Server>,
     states: Vec<UpstreamState>,
-    requests: HashMap<Ticket, Request>,
-    attempts: HashMap<u64, Attempt>,
-    leases: HashMap<(usize, u64), u64>,
+    pub(super) requests: HashMap<Ticket, Request>,
+    pub(super) attempts: HashMap<u64, Attempt>,
+    pub(super) leases: HashMap<(usize, u64), u64>,
     blocked: BTreeSet<(usize, usize)>,
-    next_id: u64,
-    rate: f64,
-    load_factor: f64,
-    service_factor: f64,
-    spike: Option<(Duration, Duration)>,
-    subject: Option<(usize, Duration)>,
+    pub(super) next_id: u64,
+    pub(super) rate: f64,
+    pub(super) load_factor: f64,
+    pub(super) service_factor: f64,
+    pub(super) spike: Option<(Duration, Duration)>,
+    pub(super) subject: Option<(usize, Duration)>,
     detected: bool,
     end: Duration,
-    measures: Measures,
+    pub(super) measures: Measures,
 }
 
-fn run_of(node: usize) -> DaemonRun {
+pub(super) fn run_of(node: usize) -> DaemonRun {
     DaemonRun {
         daemon: DaemonKey(1 + node as u64),
         incarnation: Incarnation(1),
     }
 }
 
-fn key_of(server: usize) -> UpstreamKey {
+pub(super) fn key_of(server: usize) -> UpstreamKey {
     UpstreamKey(1 + server as u64)
 }
 
@@ -298,7 +292,7 @@
         self.measures
     }
 
-    fn schedule(&mut self, at: Duration, event: Event) {
+    pub(super) fn schedule(&mut self, at: Duration, event: Event) {
         self.order += 1;
         self.events.push(Reverse(Due(at, self.order, event)));
     }
@@ -324,266 +318,6 @@
         }
     }
 
-    fn arrive(&mut self, now: Duration) {
-        let gap = -self.rng.random_range(f64::EPSILON..1.0_f64).ln();
-        let next = now + Duration::from_secs_f64(gap / (self.rate * self.load_factor));
-        self.schedule(next, Event::Arrive);
-        self.next_id += 1;
-        let ticket = Ticket(self.next_id);
-        let entry = self.rng.random_range(0..ENTRIES);
-        let view = RequestView {
-            ticket,
-            customer: corianderworks_decision::ids::CustomerKey(
-                self.rng.random_range(0..CUSTOMERS),
-            ),
-            priority: self.rng.random_range(0..3),
-            deadline: now + CALLER_TIMEOUT,
-            idempotent: self.rng.random_range(0..100) >= self.service.once_percent,
-            tried: Vec::new(),
-        };
-        let node = match self.system {
-            System::Baseline => entry,
-            System::Fleet => self.choose_home(&[]),
-        };
-        self.measures.arrived += 1;
-        self.schedule(view.deadline, Event::Deadline(ticket));
-        let request = Request {
-            view,
-            arrived: now,
-            node,
-            refused_at: Vec::new(),
-            attempts: Vec::new(),
-            ran: 0,
-        };
-        self.requests.insert(ticket, request);
-        self.admit(now, ticket);
-    }
-
-    /// The less loaded of two random homes, by the reports that entries hold.
-    fn choose_home(&mut self, except: &[usize]) -> usize {
-        let homes: Vec<usize> = (0..HOMES).filter(|h| !except.contains(h)).collect();
-        let mut pick = || homes[self.rng.random_range(0..homes.len())];
-        let (a, b) = (pick(), pick());
-        let spare = |node: usize| {
-            let load = self.nodes[node].load;
-            i64::from(load.free_slots) - i64::from(load.queued)
-        };
-        if spare(b) > spare(a) { b } else { a }
-    }
-
-    fn admit(&mut self, now: Duration, ticket: Ticket) {
-        use corianderworks_decision::dispatcher::Admit;
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        let (node, view) = (request.node, request.view.clone());
-        let schedule = self.nodes[node].daemon.schedule();
-        match schedule.admit(now, view) {
-            Admit::Run(lease) => self.dispatch(now, node, ticket, lease),
-            Admit::Wait => {}
-            Admit::Refuse(_) => self.refused(now, ticket),
-        }
-    }
-
-    fn refused(&mut self, now: Duration, ticket: Ticket) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        request.refused_at.push(request.node);
-        let refused_at = request.refused_at.clone();
-        let again = self.system == System::Fleet && refused_at.len() < 3;
-        if again && now + SERVICE_TIME < request.view.deadline {
-            let node = self.choose_home(&refused_at);
-            if let Some(request) = self.requests.get_mut(&ticket) {
-                request.node = node;
-            }
-            return self.admit(now, ticket);
-        }
-        self.measures.refused += 1;
-        self.requests.remove(&ticket);
-    }
-
-    fn respond(&mut self, now: Duration, node: usize, server: usize) -> Option<(Duration, Ending)> {
-        let opened = self.nodes[node].connections[server];
-        self.servers[server].respond(&mut self.rng, now, node, opened, self.service_factor)
-    }
-
-    fn dispatch(&mut self, now: Duration, node: usize, ticket: Ticket, lease: Lease) {
-        let server = (lease.upstream.0 - 1) as usize;
-        self.next_id += 1;
-        let id = self.next_id;
-        let target = &mut self.servers[server];
-        let in_flight = target.running + target.waiting.len() as u32;
-        self.measures.overruns += u64::from(in_flight >= target.slots);
-        if target
-            .leaving_from
-            .is_some_and(|from| now > from + DRAIN_TARGET)
-        {
-            self.measures.violations += 1;
-        }
-        let sent = target.send(id);
-        self.attempts.insert(
-            id,
-            Attempt {
-                ticket,
-                node,
-                server,
-                lease,
-                sent: now,
-            },
-        );
-        self.leases.insert((node, lease.slot), id);
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.attempts.push(id);
-        }
-        match sent {
-            Sent::Running => self.run_attempt(now, id),
-            Sent::Waiting => {}
-            Sent::Shed => {
-                let latency = Duration::from_millis(2);
-                self.schedule(now + latency, Event::Done(id, Outcome::NotRun { latency }));
-            }
-        }
-        self.plan_hedge(now, node, ticket);
-    }
-
-    fn plan_hedge(&mut self, now: Duration, node: usize, ticket: Ticket) {
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        if request.attempts.len() == 1
-            && let Some(home) = self.nodes[node].daemon.home()
-            && let Some(after) = home.hedge_after(now, &request.view)
-        {
-            self.schedule(now + after, Event::Hedge(ticket, node));
-        }
-    }
-
-    /// A server begins to run a request.
-    fn run_attempt(&mut self, now: Duration, id: u64) {
-        let Some(attempt) = self.attempts.get(&id) else {
-            return;
-        };
-        let (node, server, ticket, sent) =
-            (attempt.node, attempt.server, attempt.ticket, attempt.sent);
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.ran += 1;
-            if request.ran > 1 && !request.view.idempotent {
-                self.measures.violations += 1;
-            }
-        }
-        let Some((after, ending)) = self.respond(now, node, server) else {
-            return;
-        };
-        let latency = now + after - sent;
-        let draining = self.servers[server].leaving_from.is_some();
-        let outcome = match ending {
-            Ending::Complete if draining => Outcome::Drained { latency },
-            Ending::Complete => Outcome::Success { latency },
-            Ending::Error => Outcome::Error {
-                status: 500,
-                latency,
-            },
-            Ending::Truncated => Outcome::Truncated { latency },
-        };
-        self.schedule(now + after, Event::Done(id, outcome));
-    }
-
-    /// Takes an attempt off its server and reports it to its daemon.
-    fn end_attempt(&mut self, now: Duration, id: u64, outcome: Outcome) -> Option<Ticket> {
-        let attempt = self.attempts.remove(&id)?;
-        self.leases.remove(&(attempt.node, attempt.lease.slot));
-        if !matches!(outcome, Outcome::NotRun { .. })
-            && let Some(next) = self.servers[attempt.server].remove(id)
-        {
-            self.run_attempt(now, next);
-        }
-        if let Some(request) = self.requests.get_mut(&attempt.ticket) {
-            request.attempts.retain(|a| *a != id);
-            request.view.tried.push(key_of(attempt.server));
-        }
-        let schedule = self.nodes[attempt.node].daemon.schedule();
-        let actions = schedule.finish(now, attempt.lease, outcome);
-        self.apply(now, attempt.node, actions);
-        Some(attempt.ticket)
-    }
-
-    fn done(&mut self, now: Duration, id: u64, outcome: Outcome) {
-        let Some(ticket) = self.end_attempt(now, id, outcome) else {
-            return;
-        };
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        if matches!(outcome, Outcome::Success { .. } | Outcome::Drained { .. }) {
-            let others = request.attempts.clone();
-            self.requests.remove(&ticket);
-            self.measures.success(now, self.spike);
-            for other in others {
-                self.cancel_attempt(now, other);
-            }
-        } else if request.attempts.is_empty() {
-            self.retry(now, ticket, outcome);
-        }
-    }
-
-    fn cancel_attempt(&mut self, now: Duration, id: u64) {
-        if let Some(attempt) = self.attempts.get(&id) {
-            let latency = now - attempt.sent;
-            self.end_attempt(now, id, Outcome::Cancelled { latency });
-        }
-    }
-
-    fn retry(&mut self, now: Duration, ticket: Ticket, outcome: Outcome) {
-        use corianderworks_decision::dispatcher::Retry;
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        let (node, view) = (request.node, request.view.clone());
-        let schedule = self.nodes[node].daemon.schedule();
-        match schedule.may_retry(now, &view, outcome) {
-            Retry::Retry => self.admit(now, ticket),
-            Retry::GiveUp => {
-                self.requests.remove(&ticket);
-            }
-        }
-    }
-
-    fn deadline(&mut self, now: Duration, ticket: Ticket) {
-        let Some(request) = self.requests.remove(&ticket) else {
-            return;
-        };
-        self.nodes[request.node]
-            .daemon
-            .schedule()
-            .cancel(now, ticket);
-        for id in request.attempts {
-            let latency = now - request.arrived;
-            self.end_attempt(now, id, Outcome::Stalled { latency });
-        }
-    }
-
-    fn hedge(&mut self, now: Duration, ticket: Ticket, node: usize) {
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        if request.attempts.len() != 1 {
-            return;
-        }
-        let mut view = request.view.clone();
-        view.tried.extend(
-            request
-                .attempts
-                .iter()
-                .map(|id| key_of(self.attempts[id].server)),
-        );
-        if let Some(home) = self.nodes[node].daemon.home()
-            && let Some(lease) = home.admit_hedge(now, &view)
-        {
-            self.dispatch(now, node, ticket, lease);
-        }
-    }
-
     fn tick(&mut self, now: Duration, node: usize) {
         self.schedule(now + TICK, Event::Tick(node));
         let actions = self.nodes[node].daemon.schedule().tick(now);
@@ -618,7 +352,7 @@
         self.apply(now, to, actions);
     }
 
-    fn apply(&mut self, now: Duration, node: usize, actions: Vec<Action>) {
+    pub(super) fn apply(&mut self, now: Duration, node: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Start { ticket, lease } => self.dispatch(now, node, ticket, lease),
--- a/crates/corianderworks_decision/src/dispatch_judge.rs
+++ b/crates/corianderworks_decision/src/dispatch_judge.rs
@@ -5,8 +5,9 @@
 use crate::dispatch_types::*;
 use crate::dispatcher::{Dispatcher, Running, Trial, Upstream};
 use crate::ejection::Use;
-use crate::health::{self, ELEVATED, Siblings, UpstreamHealth, Verdict};
+use crate::health::{ELEVATED, UpstreamHealth};
 use crate::ids::{DaemonRun, UpstreamKey};
+use crate::verdict::{self, Siblings, Verdict};
 
 /// Overdue level at which a request is taken for stuck on a silent connection.
 const RETIRE_LEVEL: u8 = 2;
@@ -131,7 +132,7 @@
             let success = success.max().flatten();
             let slow = views().map(|v| v.last_slow).chain([own.last_slow()]);
             let slow = slow.max().flatten();
-            let fresh = |heard: Duration| now.saturating_sub(heard) <= health::REPORT_AGE;
+            let fresh = |heard: Duration| now.saturating_sub(heard) <= verdict::REPORT_AGE;
             let elevated = entry.health.elevated(now)
                 || reports.clone().any(|r| r.elevated && fresh(r.view.heard));
             siblings.total += 1;
@@ -169,7 +170,7 @@
         let siblings = self.siblings(now, upstream, since);
         let co_owner = entry.view.co_owner.and_then(|peer| entry.peers.get(&peer));
         let peer = co_owner.map(|report| report.view);
-        let verdict = health::verdict(now, &self.weights, &entry.health, peer, siblings);
+        let verdict = verdict::verdict(now, &self.weights, &entry.health, peer, siblings);
         match verdict {
             Verdict::Fine => self.clear_suspicion(now, upstream, actions),
             Verdict::Shared => {
--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -4,8 +4,9 @@
 
 use crate::dispatch_types::*;
 use crate::dispatcher::{Dispatcher, PeerReport, Trial, Upstream};
-use crate::health::{ELEVATED, PeerView};
+use crate::health::ELEVATED;
 use crate::ids::{DaemonKey, UpstreamKey};
+use crate::verdict::PeerView;
 
 /// Interval of complete reports; evidence of failure and trials are reported at every call.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/corianderworks_decision/src/dispatcher.rs
+++ b/crates/corianderworks_decision/src/dispatcher.rs
@@ -11,13 +11,14 @@
 
 pub use crate::dispatch_types::*;
 use crate::ejection::{AnnouncedEjections, HeldPermits};
-use crate::health::{PeerView, UpstreamHealth, UsualRate, Weights};
+use crate::health::{UpstreamHealth, UsualRate, Weights};
 use crate::ids::{DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use crate::latency::LatencyWindow;
 use crate::permits;
 use crate::queue::Queue;
 use crate::retry::{self, RetryBudget};
 use crate::slots::UpstreamSlots;
+use crate::verdict::PeerView;
 
 /// Time for which a drain signal on a response holds without the VM list confirming it.
 const DRAIN_MEMORY: Duration = Duration::from_secs(60);
--- a/crates/corianderworks_decision/src/lib.rs
+++ b/crates/corianderworks_decision/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod queue;
 pub mod retry;
 pub mod slots;
+pub mod verdict;
 pub mod versions;
--- a/crates/corianderworks_decision/tests/health.rs
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use corianderworks_decision::dispatch_types::{Evidence, Prefer};
-use corianderworks_decision::health::{
-    PeerView, Siblings, UpstreamHealth, UsualRate, Verdict, Weights, verdict,
-};
+use corianderworks_decision::health::{UpstreamHealth, UsualRate, Weights};
+use corianderworks_decision::verdict::{PeerView, Siblings, Verdict, verdict};
 
 const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
