Raise the detection threshold above four failures with a success between

Cause: a 100 ms burst of errors and one later background error ejected a healthy server although it had answered in between: the sum was 21.3 of 20. Change: threshold 21.5 instead of 20 for the preference detection, so that four failures in a row (22.1) are enough and any success between needs a fifth.

--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -66,7 +66,7 @@
     pub fn of(prefer: Prefer) -> Self {
         match prefer {
             Prefer::Detection => Self {
-                threshold: 20.0,
+                threshold: 21.5,
                 failures: 4,
                 error_span: Duration::from_millis(200),
                 slow_span: Duration::from_millis(400),
