State a test's evidence relative to the threshold

Change: the fixture is 80% of the threshold in force; the expected verdict is unchanged. Conclusion: the rule is unchanged, the literal was stale.

--- a/crates/corianderworks_decision/tests/health.rs
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -71,7 +71,8 @@
     let works = |now| Some(peer(now, 0.0, 0, now));
     let fails = |now| Some(peer(now, 60.0, 9, ms(900)));
     let one_error = |now| Some(peer(now, 5.5, 1, now));
-    let half_there = |now| Some(peer(now, 16.0, 4, now));
+    let weights = Weights::of(Prefer::Detection);
+    let half_there = |now| Some(peer(now, 0.8 * weights.threshold, 4, now));
     let unknown = |_| None;
     type Peer<'a> = &'a dyn Fn(Duration) -> Option<PeerView>;
     let affected = Siblings {
@@ -193,7 +194,6 @@
             Verdict::Fine,
         ),
     ];
-    let weights = Weights::of(Prefer::Detection);
     for (name, requests, co_owner, siblings, expected) in cases {
         let (health, now) = health(&requests);
         let found = verdict(now, &weights, &health, co_owner(now), siblings);
