--- a/crates/corianderworks_decision/src/dispatch_peers.rs
+++ b/crates/corianderworks_decision/src/dispatch_peers.rs
@@ -4,8 +4,9 @@
 
 use crate::dispatch_types::*;
 use crate::dispatcher::{Dispatcher, PeerReport, Trial, Upstream};
-use crate::health::{ELEVATED, PeerView};
+use crate::health::ELEVATED;
 use crate::ids::{DaemonKey, UpstreamKey};
+use crate::verdict::PeerView;
 
 /// Interval of complete reports; evidence of failure and trials are reported at every call.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -58,6 +59,7 @@
             failures: health.failures(),
             failing_for_ms: health.first_failure().map(age),
             success_age_ms: health.last_success().map(age),
+            slow_age_ms: health.last_slow().map(age),
             elevated: health.elevated(now),
             trials_passed: entry.trial.passed,
             trial_failed: entry.trial.failed,
@@ -86,6 +88,7 @@
                 failures: evidence.failures,
                 first_failure: evidence.failing_for_ms.map(ago),
                 last_success: evidence.success_age_ms.map(ago),
+                last_slow: evidence.slow_age_ms.map(ago),
             };
             let trial = Trial {
                 running: false,
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -35,19 +35,6 @@
 const SCORE_CAP: f64 = 3.0;
 /// Time after which an earlier ejection no longer counts against an upstream.
 const OFFENSE_MEMORY: Duration = Duration::from_secs(600);
-/// Factor on the threshold for an upstream that was ejected recently.
-const OFFENDER_FACTOR: f64 = 0.7;
-/// Age up to which a peer's report on an upstream counts.
-pub const REPORT_AGE: Duration = Duration::from_millis(1500);
-/// Time after the first failure from which the other owner's report can cover it.
-const REPORT_DELAY: Duration = Duration::from_millis(100);
-/// Share of the threshold that an owner with later successes needs to count as failing: some of
-/// its requests fail without a fault.
-const CONFIRMED: f64 = 0.75;
-/// Failed requests that it needs as well, because one late request has several levels.
-const CONFIRMED_FAILURES: u32 = 2;
-/// Factor on the threshold while the other owner's evidence is unknown.
-const ALONE_FACTOR: f64 = 1.5;
 /// Time for which a second silent connection is evidence against the server.
 const RETIRE_MEMORY: Duration = Duration::from_secs(30);
 /// Time for which an upstream counts as affected after its evidence was dropped.
@@ -79,8 +66,8 @@
     pub fn of(prefer: Prefer) -> Self {
         match prefer {
             Prefer::Detection => Self {
-                threshold: 20.0,
-                failures: 3,
+                threshold: 21.5,
+                failures: 4,
                 error_span: Duration::from_millis(200),
                 slow_span: Duration::from_millis(400),
                 penalty: Duration::from_secs(5),
@@ -89,7 +76,7 @@
             },
             Prefer::Stability => Self {
                 threshold: 28.0,
-                failures: 4,
+                failures: 5,
                 error_span: Duration::from_millis(400),
                 slow_span: Duration::from_millis(800),
                 penalty: Duration::from_secs(5),
@@ -153,9 +140,11 @@
     truncated: f64,
     failures: u32,
     stuck: u32,
+    streak: u32,
     first_failure: Option<Duration>,
     last_failure: Duration,
     last_success: Option<Duration>,
+    last_slow: Option<Duration>,
     last_elevated: Option<Duration>,
     usual_latency: Option<f64>,
     retired_until: Option<Duration>,
@@ -195,10 +184,12 @@
         let usual = self.usual_latency.get_or_insert(sample);
         *usual += (sample - *usual) / 500.0;
         if latency * 2 > slow_from {
+            self.last_slow = Some(now);
             self.score = (self.score - weight / 2.0).max(0.0);
             return;
         }
         self.last_success = Some(now);
+        self.streak += 1;
         self.held_back = 0.0;
         self.score -= weight;
         if self.score <= 0.0 {
@@ -210,6 +201,9 @@
     pub fn failure(&mut self, now: Duration, kind: Evidence, weight: f64, first: bool) {
         self.mark(now, weight, first);
         self.score += weight;
+        if matches!(kind, Evidence::Slowness | Evidence::Stalls) {
+            self.last_slow = Some(now);
+        }
         let part = match kind {
             Evidence::Errors | Evidence::Announced => &mut self.errors,
             Evidence::Stalls => &mut self.stalls,
@@ -239,6 +233,7 @@
         }
         self.first_failure.get_or_insert(now);
         self.last_failure = now;
+        self.streak = 0;
         self.failures += u32::from(first);
     }
 
@@ -333,19 +328,29 @@
         self.stuck
     }
 
+    /// Good responses since the last failure.
+    pub fn streak(&self) -> u32 {
+        self.streak
+    }
+
     /// First failure of the current evidence.
     pub fn first_failure(&self) -> Option<Duration> {
         self.first_failure
     }
 
+    /// Last failure, or zero.
+    pub fn last_failure(&self) -> Duration {
+        self.last_failure
+    }
+
     /// Last complete response in time.
     pub fn last_success(&self) -> Option<Duration> {
         self.last_success
     }
 
-    /// Usual latency, for reports.
-    pub fn usual_latency(&self) -> Duration {
-        Duration::from_secs_f64(self.usual_latency.unwrap_or(0.0))
+    /// Last response or sign that was not clearly fast.
+    pub fn last_slow(&self) -> Option<Duration> {
+        self.last_slow
     }
 
     /// The kind that contributed most.
@@ -360,121 +365,3 @@
         most.map_or(Evidence::Errors, |(_, kind)| kind)
     }
 }
-
-/// Another home's report on an upstream, in this home's time.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PeerView {
-    /// When it arrived.
-    pub heard: Duration,
-    /// Sum of the evidence.
-    pub score: f64,
-    /// Further evidence that one silent connection could explain.
-    pub held_back: f64,
-    /// Failed requests.
-    pub failures: u32,
-    /// First failure of the evidence.
-    pub first_failure: Option<Duration>,
-    /// Last success.
-    pub last_success: Option<Duration>,
-}
-
-/// What the siblings of an upstream show since its first failure.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Siblings {
-    /// Other upstreams in use.
-    pub total: u32,
-    /// Those with a good response since then.
-    pub good: u32,
-    /// Those with evidence of failure of their own.
-    pub elevated: u32,
-}
-
-impl Siblings {
-    /// True when a fault of this one upstream explains the evidence.
-    ///
-    /// Many affected siblings mean overload or a shared dependency. Slowness also needs proof
-    /// that others are fast, because it is relative.
-    fn single_out(self, evidence: Evidence) -> bool {
-        match evidence {
-            Evidence::Slowness | Evidence::Stalls => {
-                self.elevated * 3 <= self.total && self.good >= self.total.min(2)
-            }
-            _ => self.elevated * 2 <= self.total && self.good >= self.total.min(1),
-        }
-    }
-}
-
-/// Result of weighing the evidence on an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// Not enough evidence.
-    Fine,
-    /// The other owner has success: only the path from here fails.
-    PathFault(Evidence),
-    /// The siblings fail as well: overload or a shared dependency.
-    Shared,
-    /// The server fails.
-    Unhealthy(Evidence),
-}
-
-/// Weighs one owner's evidence with the other owner's and the siblings'.
-pub fn verdict(
-    now: Duration,
-    weights: &Weights,
-    own: &UpstreamHealth,
-    co_owner: Option<PeerView>,
-    siblings: Siblings,
-) -> Verdict {
-    let Some(since) = own.first_failure else {
-        return Verdict::Fine;
-    };
-    let mut threshold = weights.threshold;
-    if own.offenses(now) > 0 {
-        threshold *= OFFENDER_FACTOR;
-    }
-    let fresh = co_owner.filter(|peer| now.saturating_sub(peer.heard) <= REPORT_AGE);
-    if fresh.is_some_and(|peer| peer.heard < since + REPORT_DELAY) {
-        // The other owner's report is older than the failure, so it cannot confirm or contradict.
-        return Verdict::Fine;
-    }
-    let (mut score, mut failures) = (own.score, own.failures);
-    let confirmed = CONFIRMED * weights.threshold;
-    let works_there = fresh.is_some_and(|peer| {
-        let failing = peer.score >= confirmed && peer.failures >= CONFIRMED_FAILURES;
-        !failing && peer.last_success > Some(since)
-    });
-    let works_here = fresh.is_some_and(|peer| {
-        let failing = own.score >= confirmed && own.failures >= CONFIRMED_FAILURES;
-        !failing
-            && peer
-                .first_failure
-                .is_some_and(|at| own.last_success > Some(at))
-    });
-    let mut own_score = own.score;
-    match fresh {
-        Some(peer) if !works_there && !works_here && peer.first_failure.is_some() => {
-            own_score += own.held_back();
-            score = own_score + peer.score + peer.held_back;
-            failures += peer.failures;
-        }
-        Some(_) => {}
-        None => threshold *= ALONE_FACTOR,
-    }
-    let evidence = own.main_evidence();
-    let span = match evidence {
-        Evidence::Slowness | Evidence::Stalls => weights.slow_span,
-        _ => weights.error_span,
-    };
-    let enough = failures >= weights.failures || (failures >= 2 && own.stuck > 0);
-    let own_share = own_score >= ELEVATED * threshold;
-    if score < threshold || !enough || !own_share || now < since + span {
-        return Verdict::Fine;
-    }
-    if works_there {
-        Verdict::PathFault(evidence)
-    } else if siblings.single_out(evidence) {
-        Verdict::Unhealthy(evidence)
-    } else {
-        Verdict::Shared
-    }
-}
