Let callers state the first use of their own key

Cause: a caller-generated key that met an outage ended as unknown, although the caller knew that it had never sent it; a leaving daemon's address response has no key prefix and was refused as malformed. Change: cw-attempt: first; the load tool accepts a response without a prefix and asks another daemon for one.

--- a/crates/corianderworks_load/src/address.rs
+++ b/crates/corianderworks_load/src/address.rs
@@ -31,8 +31,9 @@
     pub addresses: Vec<Address>,
     /// Time for which the response may be kept.
     pub keep_s: u64,
-    /// First part of every `idempotency-key`.
-    pub key_prefix: String,
+    /// First part of every `idempotency-key`; a daemon that shuts down issues none.
+    #[serde(default)]
+    pub key_prefix: Option<String>,
 }
 
 /// Address response that cannot be used.
@@ -57,9 +58,11 @@
         if parsed.addresses.is_empty() {
             return Err(AddressError::Empty);
         }
-        let prefix = &parsed.key_prefix;
-        let printable = prefix.bytes().all(|byte| byte.is_ascii_graphic());
-        if prefix.is_empty() || prefix.len() > PREFIX_LIMIT_BYTES || !printable {
+        let usable = |prefix: &String| {
+            let printable = prefix.bytes().all(|byte| byte.is_ascii_graphic());
+            !prefix.is_empty() && prefix.len() <= PREFIX_LIMIT_BYTES && printable
+        };
+        if !parsed.key_prefix.iter().all(usable) {
             return Err(AddressError::KeyPrefix);
         }
         parsed.keep_s = parsed.keep_s.clamp(1, KEEP_LIMIT_S);
@@ -77,7 +80,7 @@
         Self {
             addresses: addresses.collect(),
             keep_s: KEEP_LIMIT_S,
-            key_prefix: "direct-".to_owned(),
+            key_prefix: Some("direct-".to_owned()),
         }
     }
 
--- a/crates/corianderworks_load/src/caller.rs
+++ b/crates/corianderworks_load/src/caller.rs
@@ -25,10 +25,12 @@
 use crate::check::{Violation, check_response};
 use crate::mix::Planned;
 use crate::outcome::{Next, Outcome, Tries, Try};
-use crate::settings::{LoadSettings, Verb};
+use crate::settings::{KeyKind, LoadSettings, Verb};
 
 /// Header with the customer of a request.
 const CUSTOMER_HEADER: &str = "cw-customer";
+/// Request header that tells the first use of a key from a repeated one.
+const ATTEMPT_HEADER: &str = "cw-attempt";
 /// Header with the reason of a refusal.
 const REASON_HEADER: &str = "cw-reason";
 /// Longest wait for an address response.
@@ -148,7 +150,7 @@
             };
             if progress.key.is_none() {
                 // A resent request keeps its key, whatever the prefix is now.
-                progress.key = planned.key(&addresses.key_prefix);
+                progress.key = self.key(planned, &addresses).await;
             }
             let Some(address) = self.choose(&addresses, &used) else {
                 return progress.tries.give_up();
@@ -171,6 +173,18 @@
         }
     }
 
+    /// Builds the key of a request; without a prefix in the response, asks a daemon for one.
+    async fn key(&self, planned: &Planned, addresses: &Addresses) -> Option<String> {
+        match (&addresses.key_prefix, planned.key) {
+            (Some(prefix), _) => planned.key(prefix),
+            (None, Some(KeyKind::Issued)) => {
+                let (fresh, _) = self.fetch(&planned.service).await?;
+                planned.key(fresh.key_prefix.as_ref()?)
+            }
+            (None, _) => planned.key(""),
+        }
+    }
+
     async fn attempt(
         &self,
         planned: &Planned,
@@ -180,7 +194,7 @@
     ) -> Try {
         let left = deadline.saturating_duration_since(Instant::now());
         let limit = left.min(Duration::from_millis(self.settings.try_ms));
-        let Ok(request) = build(planned, address, limit, progress.key.as_deref()) else {
+        let Ok(request) = build(planned, address, limit, progress) else {
             progress.failures.push("invalid request".to_owned());
             return Try::NotConnected;
         };
@@ -332,7 +346,7 @@
     planned: &Planned,
     address: SocketAddr,
     limit: Duration,
-    key: Option<&str>,
+    progress: &Progress,
 ) -> http::Result<Request<Full<Bytes>>> {
     let method = match planned.verb {
         Verb::Get => "GET",
@@ -345,8 +359,11 @@
         .header(CHECK_HEADER, &planned.check)
         .header(CUSTOMER_HEADER, &planned.customer)
         .header(DEADLINE_HEADER, limit.as_millis().max(1) as u64);
-    if let Some(key) = key {
+    if let Some(key) = &progress.key {
         request = request.header(KEY_HEADER, key);
+        if progress.count == 1 {
+            request = request.header(ATTEMPT_HEADER, "first");
+        }
     }
     request.body(Full::new(planned.body.clone()))
 }
