Let two stuck requests decide only when both are stuck

Cause: in 24 h of noise two outliers at the same time, one at each owner, ejected a healthy server, although only one of them was 32 times later than the median. Change: an owner reports its stuck requests, and the rule for two requests counts those of both owners.

--- a/crates/corianderworks_decision/src/dispatch_types.rs
+++ b/crates/corianderworks_decision/src/dispatch_types.rs
@@ -234,6 +234,8 @@
     pub held_back_milli: u32,
     /// Requests behind the evidence.
     pub failures: u32,
+    /// Those that are stuck for long.
+    pub stuck: u32,
     /// Age of the evidence's first failure.
     pub failing_for_ms: Option<u32>,
     /// Age of the last complete, timely response.
--- a/crates/corianderworks_decision/src/verdict.rs
+++ b/crates/corianderworks_decision/src/verdict.rs
@@ -32,6 +32,8 @@
     pub held_back: f64,
     /// Failed requests.
     pub failures: u32,
+    /// Requests that are stuck for long.
+    pub stuck: u32,
     /// First failure of the evidence.
     pub first_failure: Option<Duration>,
     /// Last success.
@@ -102,7 +104,7 @@
         // The other owner's report is older than the failure, so it cannot confirm or contradict.
         return Verdict::Fine;
     }
-    let (mut score, mut failures) = (own.score(), own.failures());
+    let (mut score, mut failures, mut stuck) = (own.score(), own.failures(), own.stuck());
     let confirmed = CONFIRMED * weights.threshold;
     let works_there = fresh.is_some_and(|peer| {
         let failing = peer.score >= confirmed && peer.failures >= CONFIRMED_FAILURES;
@@ -121,6 +123,7 @@
             own_score += own.held_back();
             score = own_score + peer.score + peer.held_back;
             failures += peer.failures;
+            stuck += peer.stuck;
         }
         Some(_) => {}
         None => threshold *= ALONE_FACTOR,
@@ -130,7 +133,7 @@
         Evidence::Slowness | Evidence::Stalls => weights.slow_span,
         _ => weights.error_span,
     };
-    let enough = failures >= weights.failures || (failures >= 2 && own.stuck() > 0);
+    let enough = failures >= weights.failures || stuck >= 2;
     let own_share = own_score >= ELEVATED * threshold;
     // Successes after the last failure end a hiccup, however strong its evidence was.
     let ended = own.last_success() > Some(own.last_failure());
--- a/crates/corianderworks_decision/tests/health.rs
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -48,6 +48,7 @@
         score,
         held_back: 0.0,
         failures,
+        stuck: 0,
         first_failure: (failures > 0).then_some(ms(1010)),
         last_success: Some(success),
         last_slow: None,
@@ -267,3 +268,21 @@
     assert_eq!(always_slower.slow_from(Some(ms(25))), ms(180));
     assert_eq!(always_slower.slow_from(None), ms(1000));
 }
+
+/// Guards against ejecting a server for one late response at each owner; both must be stuck.
+#[test]
+fn one_late_request_at_each_owner_is_no_verdict() {
+    let weight = UsualRate::default().failure_weight();
+    let mut health = UpstreamHealth::default();
+    for level in 1..=4 {
+        health.failure(ms(1000), Evidence::Stalls, weight, level == 1);
+        health.reached(level);
+    }
+    let now = ms(2000);
+    let late = peer(now, 3.0 * weight, 1, ms(900));
+    let stuck = PeerView { stuck: 1, ..late };
+    let weights = Weights::of(Prefer::Detection);
+    let judge = |peer| verdict(now, &weights, &health, Some(peer), SIBLINGS);
+    assert_eq!(judge(late), Verdict::Fine);
+    assert_eq!(judge(stuck), Verdict::Unhealthy(Evidence::Stalls));
+}
