Refuse paths that a backend server may read as another one

Cause: routes and plans were looked up by the raw path, and the raw path was passed on. A backend server that resolves dot segments, escapes, path parameters or empty segments read another path than the plan was checked against. Change: escapes are resolved before the look-up; empty and relative segments, parameters, escaped separators, control characters and malformed or repeated escapes are refused with 400 and not run. CONNECT and TRACE are refused.

--- a/crates/corianderworks/src/fleet.rs
+++ b/crates/corianderworks/src/fleet.rs
@@ -122,6 +122,8 @@
     pub daemons: Vec<(Vm, Daemon)>,
     /// Time that callers keep an address response, in seconds.
     pub keep_s: u32,
+    /// Limits of the daemons towards callers.
+    pub limits: Limits,
     authority: Authority,
     customers: Customers,
     plans: Plans,
@@ -170,6 +172,7 @@
             backends,
             daemons: Vec::new(),
             keep_s: 2,
+            limits: Limits::default(),
             authority: Authority::new()?.0,
             customers,
             plans,
@@ -228,7 +231,7 @@
             tls: self.authority.issue(name)?,
             prefer: self.deployment.prefer,
             keep_s: self.keep_s,
-            limits: Limits::default(),
+            limits: self.limits.clone(),
             log: LogFormat::Text,
             balance: Balance::Owners,
             outbound_ip: None,
@@ -268,6 +271,14 @@
         }
     }
 
+    /// Changes the lists; [`Self::write_lists`] brings the change into force.
+    pub fn edit_lists<F>(&mut self, edit: F)
+    where
+        F: FnOnce(&mut Customers, &mut Plans),
+    {
+        edit(&mut self.customers, &mut self.plans);
+    }
+
     /// Finds a backend server by its name.
     pub fn backend(&self, name: &str) -> Option<&FleetBackend> {
         self.backends.iter().find(|backend| backend.vm.name == name)
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod status_commands;
 pub mod status_types;
 pub mod store;
+pub mod target;
 pub mod telemetry;
 pub mod upstream;
 pub mod view;
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -14,7 +14,7 @@
 use corianderworks_lists::settings::{Balance, Limits};
 use corianderworks_wire::message::{self, Answer, Ask, RelayPurpose};
 use http::uri::PathAndQuery;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Method, Request, Response};
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -29,6 +29,7 @@
 use crate::peer::Peers;
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::relay::{self, RelayError};
+use crate::target;
 use crate::view::{RouteMatch, View};
 
 /// Homes that one request may be sent to. More would multiply the load of an overloaded service.
@@ -196,7 +197,12 @@
             .map_err(|_| Reason::BadRequest("cw-customer"))?
             .ok_or(Reason::UnknownCustomer)?;
         let plan = view.table.plan(customer).ok_or(Reason::UnknownCustomer)?;
-        let route = match view.table.route(&parts.method, parts.uri.path()) {
+        if matches!(parts.method, Method::CONNECT | Method::TRACE) {
+            return Err(Reason::Method);
+        }
+        let path =
+            target::decode(parts.uri.path()).map_err(|_| Reason::BadRequest("ambiguous path"))?;
+        let route = match view.table.route(&parts.method, &path) {
             RouteMatch::Found(route) => route,
             RouteMatch::OtherMethod => return Err(Reason::Method),
             RouteMatch::NoRoute => return Err(Reason::NoRoute),
