Give backend servers the host, one request id and trailers

Cause: cw-request-id was removed from callers' requests but never set; the host of an absolute target and of HTTP/2 was dropped; a missing or repeated host was accepted; trailer was removed as a field of one hop, so hyper dropped the trailers themselves; cookies split by HTTP/2 stayed split. Change: the entry sets cw-request-id and host, refuses a missing or repeated host, keeps trailer and joins cookies. Before: an HTTP/2 request reached the backend server without host, and a trailer x-sum of a response was lost, both direct and relayed.

--- a/crates/corianderworks/src/headers.rs
+++ b/crates/corianderworks/src/headers.rs
@@ -2,9 +2,10 @@
 
 use bytes::Bytes;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, FORWARDED, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, FORWARDED, HOST, HeaderMap, HeaderName, HeaderValue, TE,
     TRANSFER_ENCODING, UPGRADE, VIA,
 };
+use http::Uri;
 use thiserror::Error;
 
 /// Names the customer.
@@ -29,13 +30,13 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
-/// Fields that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 7] = [
+/// Fields that concern one connection only (RFC 9110, section 7.6.1). `trailer` is none of
+/// them: without it, hyper drops the trailers of an HTTP/1.1 message.
+const HOP_BY_HOP: [HeaderName; 6] = [
     CONNECTION,
     KEEP_ALIVE,
     PROXY_CONNECTION,
     TE,
-    TRAILER,
     TRANSFER_ENCODING,
     UPGRADE,
 ];
@@ -55,6 +56,9 @@
     /// The field must appear once.
     #[error("{0} is given more than once")]
     Repeated(&'static str),
+    /// The host is missing or malformed.
+    #[error("host is missing or malformed")]
+    Host,
     /// A number is malformed.
     #[error("{0} is not a number")]
     Number(&'static str),
@@ -77,6 +81,25 @@
     }
 }
 
+/// Sets `host` from the target of the request, which takes precedence over the field.
+///
+/// HTTP/2 has the host in the target only, and HTTP/1.1 needs the field on the next hop.
+pub fn set_host(headers: &mut HeaderMap, uri: &Uri) -> Result<(), HeaderError> {
+    if headers.get_all(HOST).iter().count() > 1 {
+        return Err(HeaderError::Repeated("host"));
+    }
+    if let Some(authority) = uri.authority() {
+        // The part before `@` is not sent on: it may be a password.
+        let host = authority.as_str().rsplit('@').next().unwrap_or_default();
+        let value = HeaderValue::from_str(host).map_err(|_| HeaderError::Host)?;
+        headers.insert(HOST, value);
+    }
+    match headers.contains_key(HOST) {
+        true => Ok(()),
+        false => Err(HeaderError::Host),
+    }
+}
+
 /// Returns a field that may appear once, as text.
 pub fn single<'h>(
     headers: &'h HeaderMap,
@@ -116,12 +139,23 @@
     for name in [&EXPECT, &REQUEST_ID, &DEADLINE_MS, &OUTCOME, &REASON] {
         headers.remove(name);
     }
+    join_cookies(headers);
     headers.append(VIA, via.clone());
     if let Ok(value) = HeaderValue::from_str(&format!("for=\"{caller}\"")) {
         headers.append(FORWARDED, value);
     }
 }
 
+/// Joins the parts into which HTTP/2 may split the cookies (RFC 9113, section 8.2.3).
+fn join_cookies(headers: &mut HeaderMap) {
+    let parts: Vec<&[u8]> = headers.get_all(COOKIE).iter().map(HeaderValue::as_bytes).collect();
+    if parts.len() > 1
+        && let Ok(joined) = HeaderValue::from_bytes(&parts.join(&b"; "[..]))
+    {
+        headers.insert(COOKIE, joined);
+    }
+}
+
 /// Prepares the fields of a backend server's response for the caller.
 pub fn prepare_response(headers: &mut HeaderMap, via: &HeaderValue) {
     strip_hop_by_hop(headers);
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -193,6 +193,7 @@
         caller: SocketAddr,
     ) -> Result<JobHead, Reason> {
         headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
+        headers::set_host(&mut parts.headers, &parts.uri).map_err(|_| Reason::BadRequest("host"))?;
         let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
             .map_err(|_| Reason::BadRequest("cw-customer"))?
             .ok_or(Reason::UnknownCustomer)?;
@@ -220,6 +221,7 @@
             &self.parts.via,
             &caller.ip().to_string(),
         );
+        parts.headers.insert(headers::REQUEST_ID, self.request_id());
         let slash = || PathAndQuery::from_static("/");
         Ok(JobHead {
             service: route.service.clone(),
@@ -235,6 +237,14 @@
         })
     }
 
+    /// Identity of one caller's request in the whole fleet.
+    fn request_id(&self) -> HeaderValue {
+        let DaemonRun { daemon, incarnation } = self.parts.me;
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{:x}-{:x}-{number:x}", daemon.0, incarnation.0);
+        HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"))
+    }
+
     fn timeout(&self, parts: &http::request::Parts, route: Duration) -> Result<Duration, Reason> {
         let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
             .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
