Cancel the work of a caller that leaves while its response runs

Cause: hyper's client notices a dropped response only at the next bytes of the server, and a relayed response waited for its next part before it noticed that the entry had given up. Change: a connection to a backend server ends with the exchange unless it goes back to its pool whole; a relayed body is given up with its stream. Before: a response that made no progress was not cancelled within 15 s after its caller left (tests/caller_http.rs, leaving_caller_cancels_the_work).

--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -228,7 +228,12 @@
     if body.is_end_stream() {
         return send_body(send, body::empty()).await;
     }
-    send_body(send, body).await
+    let cancelled = cancelled(send);
+    tokio::select! {
+        sent = send_body(send, body) => sent,
+        // Without this, a body that makes no progress would hold its upstream until it does.
+        () = cancelled => Ok(()),
+    }
 }
 
 /// Waits until the other end gives up on the response.
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::body::Body;
 
@@ -48,8 +49,23 @@
     pub unsent: Option<Request<Body>>,
 }
 
-struct Idle {
+/// Connection that is closed when dropped, whatever it still receives.
+///
+/// hyper notices only at the next bytes from the server that nobody wants a response any
+/// more, and until then the server works on.
+struct Link {
     sender: SendRequest<Body>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    link: Link,
     born: Duration,
     since: Duration,
 }
@@ -77,7 +93,7 @@
 {
     upstreams: Arc<Upstreams<C>>,
     upstream: UpstreamKey,
-    sender: SendRequest<Body>,
+    link: Link,
     /// When the connection was set up.
     pub born: Duration,
 }
@@ -101,14 +117,14 @@
         address: SocketAddr,
     ) -> Result<Checkout<C>, UpstreamError> {
         while let Some(idle) = self.pop(upstream) {
-            let mut checkout = self.wrap(upstream, idle.sender, idle.born);
-            if checkout.sender.ready().await.is_ok() {
+            let mut checkout = self.wrap(upstream, idle.link, idle.born);
+            if checkout.link.sender.ready().await.is_ok() {
                 return Ok(checkout);
             }
         }
         let born = self.clock.now();
-        let sender = connect(address).await?;
-        Ok(self.wrap(upstream, sender, born))
+        let link = connect(address).await?;
+        Ok(self.wrap(upstream, link, born))
     }
 
     /// Retires the connections of an upstream that were set up before a time.
@@ -136,12 +152,12 @@
         pool.idle.pop()
     }
 
-    fn push(&self, upstream: UpstreamKey, sender: SendRequest<Body>, born: Duration) {
+    fn push(&self, upstream: UpstreamKey, link: Link, born: Duration) {
         let mut pools = self.pools.lock();
         let pool = pools.entry(upstream).or_default();
         if born >= pool.retired_before && pool.idle.len() < IDLE_PER_UPSTREAM {
             pool.idle.push(Idle {
-                sender,
+                link,
                 born,
                 since: self.clock.now(),
             });
@@ -151,13 +167,13 @@
     fn wrap(
         self: &Arc<Self>,
         upstream: UpstreamKey,
-        sender: SendRequest<Body>,
+        link: Link,
         born: Duration,
     ) -> Checkout<C> {
         Checkout {
             upstreams: self.clone(),
             upstream,
-            sender,
+            link,
             born,
         }
     }
@@ -169,7 +185,8 @@
 {
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, Failed> {
-        self.sender
+        self.link
+            .sender
             .try_send_request(request)
             .await
             .map_err(|mut failed| {
@@ -184,13 +201,13 @@
 
     /// Returns the connection to its pool after a whole response.
     pub fn release(self) {
-        if !self.sender.is_closed() {
-            self.upstreams.push(self.upstream, self.sender, self.born);
+        if !self.link.sender.is_closed() {
+            self.upstreams.push(self.upstream, self.link, self.born);
         }
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, UpstreamError> {
+async fn connect(address: SocketAddr) -> Result<Link, UpstreamError> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting
         .await
@@ -200,18 +217,18 @@
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|e| UpstreamError::Connect(e.to_string()))?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Link { sender, task })
 }
 
 /// Requests the health endpoint on a new connection.
 pub async fn probe(address: SocketAddr) -> bool {
     let exchange = async {
-        let mut sender = connect(address).await.ok()?;
+        let mut link = connect(address).await.ok()?;
         let request = Request::get("/health").body(crate::body::empty()).ok()?;
-        let response = sender.send_request(request).await.ok()?;
+        let response = link.sender.send_request(request).await.ok()?;
         Some(response.status().is_success())
     };
     let answer = tokio::time::timeout(PROBE_TIMEOUT, exchange).await;
