Read relayed frames and repeated requests strictly

Cause: body frames after trailers or over 16 KB and repeated trailers were taken; the answer done of a repeated key was read as a refusal when relayed, so the caller got 503 unknown for a request that had been answered; a head that could not be encoded counted as sent. Change: such frames cut the body off; done is an answer; a head that was not encoded is not run.

--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -60,8 +60,13 @@
     };
     let left = job.head.time_left(now);
     let head = job.head.to_relay(request_id, entry, purpose, now);
-    if let Err(error) = channel.send(&Ask::Relay(head)).await {
-        return Err(RelayError::Sent(error));
+    match channel.send(&Ask::Relay(head)).await {
+        Ok(()) => {}
+        // The head was not encoded, so nothing of it left this daemon.
+        Err(error @ PeerError::Codec(_)) => {
+            return Err(RelayError::NotSent(Box::new(job), error));
+        }
+        Err(error) => return Err(RelayError::Sent(error)),
     }
     let Channel { mut send, mut recv } = channel;
     let upload = UploadGuard(tokio::spawn(async move {
@@ -132,6 +137,8 @@
 fn read_refusal(fields: &http::HeaderMap) -> Option<Refusal> {
     let ran = match fields.get(headers::OUTCOME)?.as_bytes() {
         b"not-run" => Ran::No,
+        // The answer to a repeated request is no refusal; it has the status of the first one.
+        outcome if outcome == headers::DONE.as_bytes() => return None,
         _ => Ran::Unknown,
     };
     let code = fields
@@ -144,21 +151,25 @@
 }
 
 fn recv_body(guard: RecvGuard) -> Body {
-    let frames = futures_util::stream::unfold(Some(guard), |state| async move {
-        let mut guard = state?;
-        match recv_message::<RelayFrame>(&mut guard.recv).await {
-            Ok(RelayFrame::Body(data)) => Some((Ok(Frame::data(data)), Some(guard))),
-            Ok(RelayFrame::Trailers(fields)) => Some((
-                Ok(Frame::trailers(headers::from_fields(fields))),
-                Some(guard),
-            )),
-            Ok(RelayFrame::End) => None,
-            Ok(RelayFrame::Abort(why)) => Some((Err(BodyError::Truncated(why)), None)),
-            Ok(RelayFrame::Answer(_)) => {
-                Some((Err(BodyError::Truncated("unexpected frame".into())), None))
+    let start = Some((guard, false));
+    let frames = futures_util::stream::unfold(start, |state| async move {
+        let (mut guard, trailers_seen) = state?;
+        let why = match recv_message::<RelayFrame>(&mut guard.recv).await {
+            Ok(RelayFrame::Body(data)) if !trailers_seen && data.len() <= BODY_FRAME_MAX_BYTES => {
+                return Some((Ok(Frame::data(data)), Some((guard, false))));
             }
-            Err(error) => Some((Err(BodyError::Truncated(error.to_string())), None)),
-        }
+            Ok(RelayFrame::Trailers(fields)) if !trailers_seen => {
+                let trailers = Frame::trailers(headers::from_fields(fields));
+                return Some((Ok(trailers), Some((guard, true))));
+            }
+            Ok(RelayFrame::End) => return None,
+            Ok(RelayFrame::Abort(why)) => why,
+            Ok(RelayFrame::Body(_) | RelayFrame::Trailers(_) | RelayFrame::Answer(_)) => {
+                "unexpected frame".to_owned()
+            }
+            Err(error) => error.to_string(),
+        };
+        Some((Err(BodyError::Truncated(why)), None))
     });
     StreamBody::new(frames).boxed_unsync()
 }
