Tell faults of a caller's body from faults of the backend server

Cause: a body over the limit, without progress or cut off by its sender ended as 502 backend-failed and counted as a truncated exchange or a stall of the backend server, so callers could get healthy servers ejected; a declared length over the limit was sent on. Change: the progress of a body is recorded at the entry and at the home. Before: a declared length over the limit gave 502 unknown with 1 dispatch; now 413 not-run with none.

--- a/crates/corianderworks/src/body.rs
+++ b/crates/corianderworks/src/body.rs
@@ -1,6 +1,8 @@
 //! Bodies that are streamed through a daemon.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -8,6 +10,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
@@ -108,6 +111,70 @@
     }
 }
 
+/// How far a body has got that is sent on.
+#[derive(Debug, Default)]
+pub struct Progress {
+    error: Mutex<Option<BodyError>>,
+    waiting: AtomicBool,
+}
+
+impl Progress {
+    /// Why the sender did not complete the body, if it failed.
+    pub fn error(&self) -> Option<BodyError> {
+        self.error.lock().clone()
+    }
+
+    /// Whether the next part has been asked for and has not come.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed)
+    }
+}
+
+/// Body that records its progress, to tell a fault of its sender from one of its receiver.
+pub struct Tracked {
+    inner: Body,
+    progress: Arc<Progress>,
+}
+
+impl Tracked {
+    /// Records the progress of a body.
+    pub fn new(inner: Body) -> (Self, Arc<Progress>) {
+        let progress = Arc::<Progress>::default();
+        let tracked = Self {
+            inner,
+            progress: progress.clone(),
+        };
+        (tracked, progress)
+    }
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        self.progress
+            .waiting
+            .store(polled.is_pending(), Ordering::Relaxed);
+        if let Poll::Ready(Some(Err(error))) = &polled {
+            *self.progress.error.lock() = Some(error.clone());
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// How a body ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
--- a/crates/corianderworks/src/headers.rs
+++ b/crates/corianderworks/src/headers.rs
@@ -1,11 +1,11 @@
 //! Header rules of an HTTP intermediary.
 
 use bytes::Bytes;
+use http::Uri;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, FORWARDED, HOST, HeaderMap, HeaderName, HeaderValue, TE,
-    TRANSFER_ENCODING, UPGRADE, VIA,
+    CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, FORWARDED, HOST, HeaderMap, HeaderName,
+    HeaderValue, TE, TRANSFER_ENCODING, UPGRADE, VIA,
 };
-use http::Uri;
 use thiserror::Error;
 
 /// Names the customer.
@@ -148,7 +148,11 @@
 
 /// Joins the parts into which HTTP/2 may split the cookies (RFC 9113, section 8.2.3).
 fn join_cookies(headers: &mut HeaderMap) {
-    let parts: Vec<&[u8]> = headers.get_all(COOKIE).iter().map(HeaderValue::as_bytes).collect();
+    let parts: Vec<&[u8]> = headers
+        .get_all(COOKIE)
+        .iter()
+        .map(HeaderValue::as_bytes)
+        .collect();
     if parts.len() > 1
         && let Ok(joined) = HeaderValue::from_bytes(&parts.join(&b"; "[..]))
     {
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -19,7 +19,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::body::{self, Body, BodyEnd, Watched};
+use crate::body::{self, Body, BodyEnd, Tracked, Watched};
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
 use crate::refusal::{Reason, Refusal};
@@ -295,7 +295,8 @@
             guard.finish(Outcome::Cancelled { latency });
             return Step::Reply(Err(Refusal::not_run(Reason::Deadline)));
         }
-        let request = build_request(&head, body, left);
+        let (body, upload) = Tracked::new(body);
+        let request = build_request(&head, body.boxed_unsync(), left);
         let abandon = guard.abandon.clone();
         let sent = tokio::select! {
             sent = tokio::time::timeout(left, checkout.send(request)) => sent.ok(),
@@ -303,6 +304,11 @@
         };
         let latency = guard.elapsed();
         match sent {
+            // The backend server is not to blame when the rest of the body did not come.
+            None if upload.is_waiting() => {
+                guard.finish(Outcome::Cancelled { latency });
+                Step::Reply(Err(Refusal::unknown(Reason::Deadline)))
+            }
             None => {
                 let born = checkout.born;
                 let upstream = guard.upstream();
@@ -331,6 +337,10 @@
                 unsent: None,
             })) => {
                 tracing::debug!("upstream: {error}");
+                if let Some(error) = upload.error() {
+                    guard.finish(Outcome::Cancelled { latency });
+                    return Step::Reply(Err(Refusal::unknown((&error).into())));
+                }
                 let outcome = Outcome::Truncated { latency };
                 guard.finish(outcome);
                 let otherwise = Err(Refusal::unknown(Reason::BackendFailed));
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::body::{self, Body, Guarded};
+use crate::body::{self, Body, Guarded, Progress, Tracked};
 use crate::grants::Grants;
 use crate::headers;
 use crate::home::Homes;
@@ -142,8 +142,11 @@
     ) -> Response<Body> {
         let guard = self.start_request();
         match self.admit(request, caller).await {
-            Ok((job, place)) => {
+            Ok((mut job, place)) => {
+                let (body, upload) = Tracked::new(job.body);
+                job.body = body.boxed_unsync();
                 let reply = self.run_keyed(job).await;
+                let reply = reply.map_err(|refusal| blame_caller(refusal, &upload));
                 let response = reply.unwrap_or_else(Refusal::response);
                 let hold = move |_| drop((guard, place));
                 response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
@@ -169,6 +172,9 @@
         let plan = view.table.plan(&head.customer);
         let plan = plan.ok_or(Refusal::not_run(Reason::UnknownCustomer))?;
         let customer = head.customer_key();
+        if body.size_hint().lower() > self.parts.limits.body_bytes {
+            return Err(Refusal::not_run(Reason::TooLarge));
+        }
         let place = self
             .parts
             .grants
@@ -193,7 +199,8 @@
         caller: SocketAddr,
     ) -> Result<JobHead, Reason> {
         headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
-        headers::set_host(&mut parts.headers, &parts.uri).map_err(|_| Reason::BadRequest("host"))?;
+        headers::set_host(&mut parts.headers, &parts.uri)
+            .map_err(|_| Reason::BadRequest("host"))?;
         let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
             .map_err(|_| Reason::BadRequest("cw-customer"))?
             .ok_or(Reason::UnknownCustomer)?;
@@ -239,7 +246,10 @@
 
     /// Identity of one caller's request in the whole fleet.
     fn request_id(&self) -> HeaderValue {
-        let DaemonRun { daemon, incarnation } = self.parts.me;
+        let DaemonRun {
+            daemon,
+            incarnation,
+        } = self.parts.me;
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
         let text = format!("{:x}-{:x}-{number:x}", daemon.0, incarnation.0);
         HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"))
@@ -513,6 +523,14 @@
     }
 }
 
+/// Gives the caller's own fault as the reason; a home sees only that the body broke off.
+fn blame_caller(refusal: Refusal, upload: &Progress) -> Refusal {
+    match upload.error() {
+        Some(error) if refusal.ran == Ran::Unknown => Refusal::unknown((&error).into()),
+        _ => refusal,
+    }
+}
+
 fn settle(reply: Reply, replay: Replay) -> Next {
     let elsewhere = matches!(
         &reply,
--- a/crates/corianderworks/src/refusal.rs
+++ b/crates/corianderworks/src/refusal.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::json;
 
-use crate::body::{Body, full};
+use crate::body::{Body, BodyError, full};
 use crate::headers::{OUTCOME, REASON};
 
 /// Whether a refused request may have run.
@@ -33,6 +33,10 @@
 pub enum Reason {
     /// The request is malformed.
     BadRequest(&'static str),
+    /// The body is over the limit.
+    TooLarge,
+    /// The caller paused too long within the body.
+    SlowBody,
     /// The customer is not in the list.
     UnknownCustomer,
     /// The plan does not allow the route.
@@ -70,6 +74,8 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::BadRequest(_) => "bad-request",
+            Self::TooLarge => "too-large",
+            Self::SlowBody => "slow-body",
             Self::UnknownCustomer => "unknown-customer",
             Self::NotAllowed => "not-allowed",
             Self::NoRoute => "no-route",
@@ -90,7 +96,9 @@
 
     /// Finds a reason by its code, for relayed refusals.
     pub fn from_code(code: &str) -> Option<Self> {
-        const ALL: [Reason; 16] = [
+        const ALL: [Reason; 18] = [
+            Reason::TooLarge,
+            Reason::SlowBody,
             Reason::BadRequest(""),
             Reason::UnknownCustomer,
             Reason::NotAllowed,
@@ -114,6 +122,8 @@
     fn status(self) -> StatusCode {
         match self {
             Self::BadRequest(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownCustomer => StatusCode::UNAUTHORIZED,
             Self::NotAllowed => StatusCode::FORBIDDEN,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -129,6 +139,16 @@
     }
 }
 
+impl From<&BodyError> for Reason {
+    fn from(error: &BodyError) -> Self {
+        match error {
+            BodyError::Truncated(_) => Self::BadRequest("body"),
+            BodyError::TooLong(_) => Self::TooLarge,
+            BodyError::Paused(_) => Self::SlowBody,
+        }
+    }
+}
+
 /// Refusal of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -164,12 +164,7 @@
         }
     }
 
-    fn wrap(
-        self: &Arc<Self>,
-        upstream: UpstreamKey,
-        link: Link,
-        born: Duration,
-    ) -> Checkout<C> {
+    fn wrap(self: &Arc<Self>, upstream: UpstreamKey, link: Link, born: Duration) -> Checkout<C> {
         Checkout {
             upstreams: self.clone(),
             upstream,
