Give callers a deadline for the first bytes of a connection

Cause: hyper begins its header timeout when it knows the HTTP version, for which it waits for up to 24 bytes. A caller that sent nothing, or a part of the HTTP/2 preface, held one of the 4,096 connections for good. Change: a connection whose first 24 bytes do not come within the header timeout is closed.

--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::api::Api;
 use crate::body::Body;
 use crate::control::{self, Control, ControlEvent, Parts, Shared};
+use crate::deadline_io::FirstBytes;
 use crate::grants::Grants;
 use crate::home::Homes;
 use crate::kernel::{Kernel, KernelError};
@@ -493,7 +494,10 @@
             async move { Ok::<_, std::convert::Infallible>(route(&entry, &api, request, caller).await) }
         });
         let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(
+                TokioIo::new(FirstBytes::new(stream, header_timeout)),
+                service,
+            )
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- /dev/null
+++ b/crates/corianderworks/src/deadline_io.rs
@@ -0,0 +1,90 @@
+//! Connections of callers with a deadline for their first bytes.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
+
+/// Length of the HTTP/2 preface, from which hyper tells HTTP/2 from HTTP/1.1.
+const PREFACE_BYTES: usize = 24;
+
+/// Connection that fails when its first bytes do not come in time.
+///
+/// The header timeout of hyper begins when the version is known, which takes up to 24 bytes;
+/// a caller that sends fewer would hold its connection for good.
+pub struct FirstBytes<S> {
+    stream: S,
+    missing_bytes: usize,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl<S> FirstBytes<S> {
+    /// Gives a connection this long for its first bytes.
+    pub fn new(stream: S, within: Duration) -> Self {
+        Self {
+            stream,
+            missing_bytes: PREFACE_BYTES,
+            deadline: Box::pin(tokio::time::sleep(within)),
+        }
+    }
+}
+
+impl<S> AsyncRead for FirstBytes<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if self.missing_bytes == 0 {
+            return polled;
+        }
+        if polled.is_pending() {
+            ready!(self.deadline.as_mut().poll(cx));
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let read = buffer.filled().len() - before;
+        self.missing_bytes = self.missing_bytes.saturating_sub(read);
+        polled
+    }
+}
+
+impl<S> AsyncWrite for FirstBytes<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod commands;
 pub mod control;
 pub mod daemon;
+pub mod deadline_io;
 pub mod demo;
 pub mod experiment;
 pub mod fleet;
