Register daemons of one process under their address

Cause: the name and the start time in milliseconds were used, so two fleets that start their daemons in the same millisecond of one process collided. Before: 2 of 3 tests of tests/fleet.rs failed with Taken when run in parallel. After: tests/fleet.rs, caller_http.rs and peer_contract.rs pass with 3 threads.

--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -154,7 +154,8 @@
             membership,
             seed,
         ));
-        Kernel::new(&format!("{}#{}", settings.name, me.incarnation.0))
+        // The address tells apart daemons of one process that have the same name and start time.
+        Kernel::new(&format!("{}#{http_address}", settings.name))
             .register(control::SERVICE, &control)?;
 
         let mut tasks = Vec::new();
--- a/crates/corianderworks/tests/support/mod.rs
+++ b/crates/corianderworks/tests/support/mod.rs
@@ -31,8 +31,6 @@
 /// `ordering` has stand-ins, `script` one scripted server.
 const SERVICES: [ServiceSpec; 2] = [spec("ordering", 3), spec("script", 0)];
 
-static STARTING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
-
 pub struct Place {
     pub fleet: Fleet,
     pub script: Script,
@@ -41,8 +39,6 @@
 impl Place {
     /// Starts a fleet; with six daemons, two are no homes and relay everything.
     pub async fn start(daemons: usize, backend: BackendSettings) -> Self {
-        // Daemons of one process are registered by name and start time.
-        let _one_at_a_time = STARTING.lock().await;
         let _ = tracing_subscriber::fmt()
             .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
             .with_test_writer()
