Refuse HTTP/1.0 and answers with another protocol

Cause: a response to HTTP/1.0 ends with its connection, so a cut-off one looked complete; a backend server's 101 was passed on although no upgrade was asked for; any value of cw-drain counted as a drain. Change: HTTP/1.0 gets 400, not run; 101 counts as a broken exchange; only cw-drain: 1 drains. Before: HTTP/1.0 got 200, 101 reached the caller.

--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -363,7 +363,19 @@
         again: Option<Box<Job>>,
     ) -> Step {
         let status = response.status();
-        let drains = response.headers().contains_key(headers::DRAIN);
+        if status == StatusCode::SWITCHING_PROTOCOLS {
+            // No request asks for another protocol, so this is no response to it.
+            let outcome = Outcome::Truncated { latency };
+            guard.finish(outcome);
+            let otherwise = Err(Refusal::unknown(Reason::BackendFailed));
+            return Step::Failed {
+                outcome,
+                again,
+                otherwise,
+            };
+        }
+        let drain = response.headers().get(headers::DRAIN);
+        let drains = drain.is_some_and(|value| value == "1");
         if drains {
             let event = HomeEvent::Draining {
                 service: self.service,
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -14,7 +14,7 @@
 use corianderworks_lists::settings::{Balance, Limits};
 use corianderworks_wire::message::{self, Answer, Ask, RelayPurpose};
 use http::uri::PathAndQuery;
-use http::{HeaderValue, Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response, Version};
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -198,6 +198,10 @@
         parts: &mut http::request::Parts,
         caller: SocketAddr,
     ) -> Result<JobHead, Reason> {
+        if parts.version < Version::HTTP_11 {
+            // Its responses end with the connection, so a cut-off one would look complete.
+            return Err(Reason::BadRequest("HTTP/1.0"));
+        }
         headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
         headers::set_host(&mut parts.headers, &parts.uri)
             .map_err(|_| Reason::BadRequest("host"))?;
--- a/crates/corianderworks/tests/caller_http.rs
+++ b/crates/corianderworks/tests/caller_http.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use corianderworks_decision::dispatcher::{Schedule, Standing};
+use corianderworks_decision::ids::ServiceKey;
 use corianderworks_standin::backend::BackendSettings;
 use support::{
     BIG_BYTES, BODY_MAX_BYTES, EXCHANGE, HUGE_BYTES, Place, Raw, parse, raw, read_all, wait,
@@ -125,6 +127,16 @@
             plain("GET /script/echo\r\n\r\n"),
             unparsed(400),
         ),
+        (
+            "HTTP/1.0",
+            get("/script/chunk-cut", "").replace("HTTP/1.1", "HTTP/1.0"),
+            refused(400, "bad-request"),
+        ),
+        (
+            "switch of protocols",
+            request("POST /script/orders/switch", "", ""),
+            Want(502, Some("unknown"), Some("backend-failed"), 1),
+        ),
         (
             "null in a field",
             get("/script/echo", "x-a: b\0c\r\n"),
@@ -581,7 +593,12 @@
             check(name, &got, &want, place.script.hits() - before).unwrap();
         }
         for (_, daemon) in &place.fleet.daemons {
-            assert!(daemon.ejected("script").is_empty());
+            let home = daemon.entry().parts.homes.get(ServiceKey::of("script"));
+            let reports = home.map(|home| home.read(|d, now| d.explain(now)));
+            for report in reports.into_iter().flatten() {
+                let state = (report.standing, report.score_milli);
+                assert_eq!(state, (Standing::InUse, 0), "{daemons}: {report:?}");
+            }
         }
         let malformed = post("transfer-encoding: chunked\r\n", "3x\r\nabc\r\n0\r\n\r\n");
         let got = raw(address, malformed.as_bytes()).await;
