Count no slow caller as a stalled backend server

Cause: the dispatcher takes a request without a sign of life for stuck, and the home never told it of any, so a caller that sent or read its body slowly was evidence against the backend server. Change: at every event the home reports requests whose bodies moved, or that wait for the caller.

--- a/crates/corianderworks/src/body.rs
+++ b/crates/corianderworks/src/body.rs
@@ -116,6 +116,7 @@
 pub struct Progress {
     error: Mutex<Option<BodyError>>,
     waiting: AtomicBool,
+    moved: AtomicBool,
 }
 
 impl Progress {
@@ -128,6 +129,11 @@
     pub fn is_waiting(&self) -> bool {
         self.waiting.load(Ordering::Relaxed)
     }
+
+    /// Whether a part has come since the last call.
+    pub fn take_moved(&self) -> bool {
+        self.moved.swap(false, Ordering::Relaxed)
+    }
 }
 
 /// Body that records its progress, to tell a fault of its sender from one of its receiver.
@@ -160,6 +166,9 @@
         self.progress
             .waiting
             .store(polled.is_pending(), Ordering::Relaxed);
+        if polled.is_ready() {
+            self.progress.moved.store(true, Ordering::Relaxed);
+        }
         if let Poll::Ready(Some(Err(error))) = &polled {
             *self.progress.error.lock() = Some(error.clone());
         }
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -2,8 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use corianderworks_decision::clock::Clock;
@@ -19,7 +19,7 @@
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::{Notify, mpsc, oneshot};
 
-use crate::body::{self, Body, BodyEnd, Tracked, Watched};
+use crate::body::{self, Body, BodyEnd, Progress, Tracked, Watched};
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
 use crate::refusal::{Reason, Refusal};
@@ -50,10 +50,33 @@
     Refused(QueueReason),
 }
 
+/// A request at an upstream.
+#[derive(Default)]
+struct Attempt {
+    abandon: Notify,
+    upload: OnceLock<Arc<Progress>>,
+    download: OnceLock<Arc<Progress>>,
+}
+
+impl Attempt {
+    /// Whether the backend server moves, or has to wait for the caller.
+    fn is_alive(&self) -> bool {
+        let bodies = [self.upload.get(), self.download.get()];
+        if bodies.into_iter().flatten().any(|body| body.take_moved()) {
+            return true;
+        }
+        match (self.download.get(), self.upload.get()) {
+            (Some(download), _) => !download.is_waiting(),
+            (None, Some(upload)) => upload.is_waiting(),
+            (None, None) => false,
+        }
+    }
+}
+
 struct HomeState {
     dispatcher: Dispatcher,
     waiting: HashMap<Ticket, oneshot::Sender<Granted>>,
-    running: HashMap<Lease, Arc<Notify>>,
+    running: HashMap<Lease, Arc<Attempt>>,
     addresses: HashMap<UpstreamKey, SocketAddr>,
 }
 
@@ -122,7 +145,17 @@
         F: FnOnce(&mut Dispatcher, Duration) -> Vec<Action>,
     {
         let mut state = self.state.lock();
-        let actions = event(&mut state.dispatcher, self.clock.now());
+        let now = self.clock.now();
+        let HomeState {
+            dispatcher,
+            running,
+            ..
+        } = &mut *state;
+        // A caller that sends or reads slowly is no sign of a stalled backend server.
+        for (lease, _) in running.iter().filter(|(_, attempt)| attempt.is_alive()) {
+            dispatcher.progress(now, *lease);
+        }
+        let actions = event(dispatcher, now);
         self.apply(state, actions);
     }
 
@@ -201,12 +234,12 @@
     }
 
     fn guard(self: &Arc<Self>, state: &mut HomeState, lease: Lease) -> LeaseGuard<C> {
-        let abandon = state.running.entry(lease).or_default().clone();
+        let attempt = state.running.entry(lease).or_default().clone();
         let started = self.clock.now();
         LeaseGuard {
             home: self.clone(),
             lease: Some(lease),
-            abandon,
+            attempt,
             started,
         }
     }
@@ -297,10 +330,11 @@
         }
         let (body, upload) = Tracked::new(body);
         let request = build_request(&head, body.boxed_unsync(), left);
-        let abandon = guard.abandon.clone();
+        let attempt = guard.attempt.clone();
+        let _ = attempt.upload.set(upload.clone());
         let sent = tokio::select! {
             sent = tokio::time::timeout(left, checkout.send(request)) => sent.ok(),
-            () = abandon.notified(), if head.idempotent => None,
+            () = attempt.abandon.notified(), if head.idempotent => None,
         };
         let latency = guard.elapsed();
         match sent {
@@ -411,7 +445,9 @@
             };
         }
         let (parts, incoming) = self.prepare(response);
-        let watched = Watched::new(body::incoming(incoming), move |end| {
+        let (body, download) = Tracked::new(body::incoming(incoming));
+        let _ = guard.attempt.download.set(download);
+        let watched = Watched::new(body.boxed_unsync(), move |end| {
             let latency = guard.elapsed();
             guard.finish(match end {
                 BodyEnd::Whole if drains => Outcome::Drained { latency },
@@ -460,8 +496,8 @@
                     }
                 }
                 Action::Abandon { lease, .. } => {
-                    if let Some(abandon) = state.running.get(&lease) {
-                        abandon.notify_one();
+                    if let Some(attempt) = state.running.get(&lease) {
+                        attempt.abandon.notify_one();
                     }
                 }
                 Action::RetireConnections {
@@ -486,7 +522,7 @@
 {
     home: Arc<Home<C>>,
     lease: Option<Lease>,
-    abandon: Arc<Notify>,
+    attempt: Arc<Attempt>,
     started: Duration,
 }
 
--- a/crates/corianderworks/tests/caller_http.rs
+++ b/crates/corianderworks/tests/caller_http.rs
@@ -574,6 +574,12 @@
                 "too-large",
             ),
             ("slow", "content-length: 100\r\n", 408, "slow-body"),
+            (
+                "late",
+                "content-length: 100\r\ncw-deadline-ms: 300\r\n",
+                504,
+                "deadline",
+            ),
         ] {
             let mut stream = TcpStream::connect(address).await.unwrap();
             stream.write_all(post(fields, "").as_bytes()).await.unwrap();
@@ -672,3 +678,36 @@
         assert!(!place.script.last_head().contains("content-length"));
     }
 }
+
+/// Guards against callers that get a healthy server ejected by sending or reading slowly.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn slow_callers_are_no_evidence_against_the_server() {
+    let place = Place::start(1, BackendSettings::default()).await;
+    let daemon = place.entry();
+    let mut streams = Vec::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(daemon.http_address).await.unwrap();
+        let head = post("content-length: 100\r\n", "");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    let readers = [get("/script/huge", ""), get("/script/huge", "")];
+    let mut unread = Vec::new();
+    for text in readers {
+        let mut stream = TcpStream::connect(daemon.http_address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        unread.push(stream);
+    }
+    for _ in 0..8 {
+        for stream in &mut streams {
+            stream.write_all(b"x").await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let home = daemon.entry().parts.homes.get(ServiceKey::of("script"));
+        let reports = home.unwrap().read(|d, now| d.explain(now));
+        for report in reports {
+            let state = (report.standing, report.score_milli);
+            assert_eq!(state, (Standing::InUse, 0), "{report:?}");
+        }
+    }
+}
