--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -28,6 +28,7 @@
 use crate::api::Api;
 use crate::body::Body;
 use crate::control::{self, Control, ControlEvent, Parts, Shared};
+use crate::deadline_io::FirstBytes;
 use crate::grants::Grants;
 use crate::home::Homes;
 use crate::kernel::{Kernel, KernelError};
@@ -155,7 +156,8 @@
             membership,
             seed,
         ));
-        Kernel::new(&format!("{}#{}", settings.name, me.incarnation.0))
+        // The address tells apart daemons of one process that have the same name and start time.
+        Kernel::new(&format!("{}#{http_address}", settings.name))
             .register(control::SERVICE, &control)?;
 
         let mut tasks = Vec::new();
@@ -516,7 +518,10 @@
             async move { Ok::<_, std::convert::Infallible>(route(&entry, &api, request, caller).await) }
         });
         let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(
+                TokioIo::new(FirstBytes::new(stream, header_timeout)),
+                service,
+            )
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
--- a/crates/corianderworks/src/fleet.rs
+++ b/crates/corianderworks/src/fleet.rs
@@ -124,6 +124,8 @@
     pub keep_s: u32,
     /// How the daemons pick upstreams.
     pub balance: Balance,
+    /// Limits of the daemons towards callers.
+    pub limits: Limits,
     authority: Authority,
     customers: Customers,
     plans: Plans,
@@ -173,6 +175,7 @@
             daemons: Vec::new(),
             keep_s: 2,
             balance: Balance::Owners,
+            limits: Limits::default(),
             authority: Authority::new()?.0,
             customers,
             plans,
@@ -231,7 +234,7 @@
             tls: self.authority.issue(name)?,
             prefer: self.deployment.prefer,
             keep_s: self.keep_s,
-            limits: Limits::default(),
+            limits: self.limits.clone(),
             log: LogFormat::Text,
             balance: self.balance,
             outbound_ip: None,
@@ -271,6 +274,14 @@
         }
     }
 
+    /// Changes the lists; [`Self::write_lists`] brings the change into force.
+    pub fn edit_lists<F>(&mut self, edit: F)
+    where
+        F: FnOnce(&mut Customers, &mut Plans),
+    {
+        edit(&mut self.customers, &mut self.plans);
+    }
+
     /// Finds a backend server by its name.
     pub fn backend(&self, name: &str) -> Option<&FleetBackend> {
         self.backends.iter().find(|backend| backend.vm.name == name)
--- a/crates/corianderworks/src/peer_service.rs
+++ b/crates/corianderworks/src/peer_service.rs
@@ -114,7 +114,7 @@
             return relay::send_reply(&mut send, request_id, refusal, (0, 0)).await;
         };
         let service = head.service_key();
-        let job = relay::read_job(head, has_body, recv);
+        let job = relay::read_job(head, recv, has_body);
         let cancelled = relay::cancelled(&send);
         let run = async {
             match purpose {
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -14,13 +14,13 @@
 use corianderworks_lists::settings::{Balance, Limits};
 use corianderworks_wire::message::{self, Answer, Ask, RelayPurpose};
 use http::uri::PathAndQuery;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Method, Request, Response, Version};
 use http_body::Body as HttpBody;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::body::{self, Body, Guarded};
+use crate::body::{self, Body, Guarded, Progress, Tracked};
 use crate::grants::Grants;
 use crate::headers;
 use crate::home::Homes;
@@ -29,6 +29,7 @@
 use crate::peer::Peers;
 use crate::refusal::{Ran, Reason, Refusal};
 use crate::relay::{self, RelayError};
+use crate::target;
 use crate::view::{RouteMatch, View};
 
 /// Homes that one request may be sent to. More would multiply the load of an overloaded service.
@@ -141,8 +142,11 @@
     ) -> Response<Body> {
         let guard = self.start_request();
         match self.admit(request, caller).await {
-            Ok((job, place)) => {
+            Ok((mut job, place)) => {
+                let (body, upload) = Tracked::new(job.body);
+                job.body = body.boxed_unsync();
                 let reply = self.run_keyed(job).await;
+                let reply = reply.map_err(|refusal| blame_caller(refusal, &upload));
                 let response = reply.unwrap_or_else(Refusal::response);
                 let hold = move |_| drop((guard, place));
                 response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
@@ -168,6 +172,9 @@
         let plan = view.table.plan(&head.customer);
         let plan = plan.ok_or(Refusal::not_run(Reason::UnknownCustomer))?;
         let customer = head.customer_key();
+        if body.size_hint().lower() > self.parts.limits.body_bytes {
+            return Err(Refusal::not_run(Reason::TooLarge));
+        }
         let place = self
             .parts
             .grants
@@ -191,12 +198,23 @@
         parts: &mut http::request::Parts,
         caller: SocketAddr,
     ) -> Result<JobHead, Reason> {
+        if parts.version < Version::HTTP_11 {
+            // Its responses end with the connection, so a cut-off one would look complete.
+            return Err(Reason::BadRequest("HTTP/1.0"));
+        }
         headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
+        headers::set_host(&mut parts.headers, &parts.uri)
+            .map_err(|_| Reason::BadRequest("host"))?;
         let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
             .map_err(|_| Reason::BadRequest("cw-customer"))?
             .ok_or(Reason::UnknownCustomer)?;
         let plan = view.table.plan(customer).ok_or(Reason::UnknownCustomer)?;
-        let route = match view.table.route(&parts.method, parts.uri.path()) {
+        if matches!(parts.method, Method::CONNECT | Method::TRACE) {
+            return Err(Reason::Method);
+        }
+        let path =
+            target::decode(parts.uri.path()).map_err(|_| Reason::BadRequest("ambiguous path"))?;
+        let route = match view.table.route(&parts.method, &path) {
             RouteMatch::Found(route) => route,
             RouteMatch::OtherMethod => return Err(Reason::Method),
             RouteMatch::NoRoute => return Err(Reason::NoRoute),
@@ -214,6 +232,7 @@
             &self.parts.via,
             &caller.ip().to_string(),
         );
+        parts.headers.insert(headers::REQUEST_ID, self.request_id());
         let slash = || PathAndQuery::from_static("/");
         Ok(JobHead {
             service: route.service.clone(),
@@ -229,6 +248,17 @@
         })
     }
 
+    /// Identity of one caller's request in the whole fleet.
+    fn request_id(&self) -> HeaderValue {
+        let DaemonRun {
+            daemon,
+            incarnation,
+        } = self.parts.me;
+        let number = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{:x}-{:x}-{number:x}", daemon.0, incarnation.0);
+        HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("0"))
+    }
+
     fn timeout(&self, parts: &http::request::Parts, route: Duration) -> Result<Duration, Reason> {
         let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
             .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
@@ -509,6 +539,14 @@
     }
 }
 
+/// Gives the caller's own fault as the reason; a home sees only that the body broke off.
+fn blame_caller(refusal: Refusal, upload: &Progress) -> Refusal {
+    match upload.error() {
+        Some(error) if refusal.ran == Ran::Unknown => Refusal::unknown((&error).into()),
+        _ => refusal,
+    }
+}
+
 fn settle(reply: Reply, replay: Replay) -> Next {
     let elsewhere = matches!(
         &reply,
--- a/crates/corianderworks_wire/src/message.rs
+++ b/crates/corianderworks_wire/src/message.rs
@@ -57,14 +57,14 @@
     pub target: String,
     /// Header fields after the entry's rules.
     pub headers: Vec<(String, Bytes)>,
+    /// Whether a body follows; a request without one can be sent again.
+    pub has_body: bool,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Priority under load, higher is served first.
     pub priority: u8,
     /// Time left for the request, in milliseconds.
     pub deadline_ms: u32,
-    /// Whether a body follows. A request without one can be sent again by the home.
-    pub has_body: bool,
     /// Idempotency key, if the caller sent one.
     pub key: Option<String>,
     /// Why the request is relayed.
