Wire the daemon, stand-in, load, experiment and latency commands

Cause: these commands were refused as not wired, so no deployment of separate processes had been run. The first run of one showed these faults: * A key whose daemon was leaving was refused as `key-owner-gone` by other entries, although that daemon still serves for `keep_s`. * Callers of the load generator used expired address responses, and asked one random daemon only, also when that one no longer issued keys. * A draining daemon refused a repeated key with `not run`; an earlier arrival of the same key may have run. * A draining daemon accepted new requests of callers, and a stopping one kept HTTP/1.1 connections open until it closed them.

Entries relay keys to leaving daemons, a draining owner refuses keys with `unknown`, a stopping daemon answers HTTP/1.1 with `connection: close`, and callers refresh address responses ahead of their expiry from up to three daemons. Log lines carry no spans of the actor library, and colours only on a terminal.

--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -135,35 +135,28 @@
             cmd platform {
                 /// Address to listen on.
                 required --listen address: SocketAddr
-                /// VM list to start with, as JSON.
-                optional --vms file: PathBuf
+                /// Settings as JSON with comments: VM list, budgets, faults.
+                optional --settings file: PathBuf
             }
 
             /// Backend server.
             cmd backend {
                 /// Address to listen on.
                 required --listen address: SocketAddr
-                /// Service that it belongs to.
-                required --service name: String
-                /// Requests that it runs at once, 2 by default.
-                optional --slots count: u32
-                /// Seed of its random choices.
-                optional --seed seed: u64
+                /// Settings as JSON with comments: slots, service time, faults.
+                optional --settings file: PathBuf
             }
         }
 
         /// Send requests and report what happened to them.
         cmd load {
-            /// HTTP addresses of daemons to start from.
-            repeated --daemon address: SocketAddr
-            /// Folder with the lists that the requests are made from.
-            required --lists folder: PathBuf
-            /// Requests per second.
-            required --rate requests: u32
-            /// Duration in seconds, 10 by default.
-            optional --seconds seconds: u32
-            /// Seed of the random choices.
-            optional --seed seed: u64
+            /// Settings as JSON with comments: daemons, routes, phases.
+            required --settings file: PathBuf
+            /// Control address of a backend stand-in; its executions are compared
+            /// with the responses.
+            repeated --control address: SocketAddr
+            /// SVG file for a plot over time.
+            optional --plot file: PathBuf
             /// Print JSON.
             optional --json
         }
@@ -176,20 +169,30 @@
 
         /// Run scripted scenarios against the decision machines.
         cmd experiment {
-            /// Only scenarios whose name contains this text.
-            optional --only text: String
-            /// Seed of the random choices.
+            /// Only this scenario.
+            optional --scenario name: String
+            /// First seed, 1 by default.
             optional --seed seed: u64
-            /// Folder for plots.
-            optional --out folder: PathBuf
+            /// Runs of each scenario and service, 20 by default.
+            optional --runs count: u32
+            /// Length of the noise scenario in hours, 24 by default.
+            optional --noise-hours hours: u32
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Measure the latency that daemons add to a request.
+        cmd latency {
+            /// Requests on each path, 5000 by default.
+            optional --requests count: u32
             /// Print JSON.
             optional --json
         }
 
         /// Measure the slopes behind the capacity page.
         cmd capacity {
-            /// Folder for plots.
-            optional --out folder: PathBuf
+            /// SVG file for a plot.
+            optional --svg file: PathBuf
             /// Print JSON.
             optional --json
         }
--- a/crates/corianderworks/src/commands.rs
+++ b/crates/corianderworks/src/commands.rs
@@ -10,7 +10,7 @@
 use crate::cli::{Corianderworks, CorianderworksCmd, KeysCmd, StandInCmd};
 use crate::list_store::StoreError;
 use crate::platform::PlatformError;
-use crate::{demo, keys_commands, lists_commands, status_commands};
+use crate::{demo, keys_commands, lists_commands, measure_commands, run_commands, status_commands};
 
 /// Failure of a command.
 #[derive(Debug, thiserror::Error)]
@@ -87,20 +87,21 @@
         CorianderworksCmd::Keys(keys) => match keys.subcommand {
             KeysCmd::New(new) => keys_commands::new(&new),
         },
-        CorianderworksCmd::Daemon(_) => not_wired("daemon"),
+        CorianderworksCmd::Daemon(flags) => run_commands::daemon(&flags).await,
         CorianderworksCmd::StandIn(stand_in) => match stand_in.subcommand {
-            StandInCmd::Platform(_) => not_wired("stand-in platform"),
-            StandInCmd::Backend(_) => not_wired("stand-in backend"),
+            StandInCmd::Platform(flags) => run_commands::platform(&flags).await,
+            StandInCmd::Backend(flags) => run_commands::backend(&flags).await,
         },
-        CorianderworksCmd::Load(_) => not_wired("load"),
+        CorianderworksCmd::Load(flags) => measure_commands::load(&flags).await,
         CorianderworksCmd::Demo(flags) => kept(demo::run(flags.json).await),
-        CorianderworksCmd::Experiment(_) => not_wired("experiment"),
+        CorianderworksCmd::Experiment(flags) => measure_commands::experiment(&flags).await,
+        CorianderworksCmd::Latency(flags) => measure_commands::latency(&flags).await,
         CorianderworksCmd::Capacity(_) => not_wired("capacity"),
     }
 }
 
 /// Turns the result of a measurement with a verdict into that of its command.
-fn kept<E>(result: Result<bool, E>) -> Result<(), CommandError>
+pub(crate) fn kept<E>(result: Result<bool, E>) -> Result<(), CommandError>
 where
     E: Display,
 {
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -16,7 +16,7 @@
 use corianderworks_decision::drain::{Lifecycle, LifecycleAction, Phase, Progress};
 use corianderworks_decision::ids::{DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use corianderworks_decision::membership::{
-    Action as MemberAction, Event as MemberEvent, ListedVm, MemberState, Membership,
+    Action as MemberAction, Event as MemberEvent, ListedVm, MemberRecord, MemberState, Membership,
 };
 use corianderworks_decision::versions::{Source, VersionAction, VersionEvent, Versions, readers};
 use corianderworks_lists::settings::{Balance, Prefer, Settings};
@@ -470,7 +470,8 @@
                 backend.state = BackendState::Leaving;
             }
         }
-        let view = View::new(self.table.clone(), members, &listed);
+        let mut view = View::new(self.table.clone(), members, &listed);
+        view.leaving = Arc::new(self.leaving_views());
         let candidates = self.membership.candidates();
         let is_reader = readers(&candidates).contains(&self.me().daemon);
         self.parts
@@ -583,20 +584,19 @@
                     let member = self.membership.member(candidate.daemon)?;
                     (&member.record, member.state == MemberState::Alive)
                 };
-                Some(MemberView {
-                    daemon: candidate.daemon,
-                    run: record.run,
-                    name: record.name.as_str().into(),
-                    region: record.region.as_str().into(),
-                    domain: record.domain.as_str().into(),
-                    http_address: record.http_address,
-                    peer_address: record.peer_address,
-                    steady,
-                })
+                Some(member_view(record, steady))
             })
             .collect()
     }
 
+    fn leaving_views(&self) -> Vec<MemberView> {
+        let members = self.membership.members();
+        members
+            .filter(|member| member.state == MemberState::Leaving)
+            .map(|member| member_view(&member.record, false))
+            .collect()
+    }
+
     /// Stops new work on an upstream before the VM list shows that it leaves.
     fn note_draining(&mut self, now: Duration, service: ServiceKey, upstream: UpstreamKey) -> bool {
         let new = self.draining.insert(upstream, now).is_none();
@@ -782,3 +782,16 @@
         self.membership.me().run
     }
 }
+
+fn member_view(record: &MemberRecord, steady: bool) -> MemberView {
+    MemberView {
+        daemon: record.daemon(),
+        run: record.run,
+        name: record.name.as_str().into(),
+        region: record.region.as_str().into(),
+        domain: record.domain.as_str().into(),
+        http_address: record.http_address,
+        peer_address: record.peer_address,
+        steady,
+    }
+}
--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -13,7 +13,8 @@
 use corianderworks_decision::membership::{MemberRecord, Membership};
 use corianderworks_lists::manifest::{MANIFEST_PATH, Manifest};
 use corianderworks_lists::settings::{Limits, Settings};
-use http::{HeaderValue, Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -37,6 +38,7 @@
 use crate::permits::PermitKeeper;
 use crate::platform::PlatformClient;
 use crate::proxy::{Entry, EntryParts};
+use crate::refusal::{Reason, Refusal};
 use crate::upstream::Upstreams;
 
 /// Time between two ticks of the control loop. Stalls are noticed at a tick.
@@ -514,8 +516,21 @@
     caller: SocketAddr,
 ) -> Response<Body> {
     let caller_hash = DaemonKey::of(&caller.to_string()).0;
-    match api.answer(&request, caller_hash).await {
+    let is_http1 = request.version() <= Version::HTTP_11;
+    let phase = api.shared.phase();
+    let mut response = match api.answer(&request, caller_hash).await {
         Some(response) => response,
+        // Callers that still know this daemon use another address of their address response.
+        None if matches!(phase, Phase::Draining | Phase::Stopped) => {
+            Refusal::not_run(Reason::NotReady).response()
+        }
         None => entry.serve(request, caller).await,
+    };
+    // A caller could otherwise send a request on a kept connection at the moment at which the
+    // stopping daemon closes it. HTTP/2 has GOAWAY for this.
+    if is_http1 && matches!(phase, Phase::Leaving | Phase::Draining | Phase::Stopped) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
--- a/crates/corianderworks/src/experiment.rs
+++ b/crates/corianderworks/src/experiment.rs
@@ -1,7 +1,5 @@
 //! Scripted scenarios against the decision machines, side by side with the baseline.
 
-#![allow(dead_code, reason = "the command line calls `run`")]
-
 mod fleet;
 mod measure;
 mod report;
--- a/crates/corianderworks/src/peer_service.rs
+++ b/crates/corianderworks/src/peer_service.rs
@@ -118,9 +118,12 @@
         let cancelled = relay::cancelled(&send);
         let run = async {
             match purpose {
-                _ if !allows.relayed_requests && !allows.caller_requests => {
-                    Err(Refusal::not_run(Reason::NotReady))
-                }
+                _ if allows.relayed_requests || allows.caller_requests => {}
+                RelayPurpose::Dispatch => return Err(Refusal::not_run(Reason::NotReady)),
+                // An earlier arrival of the same key may have run.
+                RelayPurpose::KeyOwner => return Err(Refusal::unknown(Reason::NotReady)),
+            }
+            match purpose {
                 RelayPurpose::Dispatch => self.entry.parts.homes.run(job).await,
                 RelayPurpose::KeyOwner => self.entry.run_issued(job).await,
             }
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -258,7 +258,7 @@
 
     fn key_route(&self, key: &str) -> KeyRoute {
         let view = self.parts.view.load();
-        let live = |daemon| view.member(daemon).map(|member| member.run.incarnation);
+        let live = |daemon| view.issuer(daemon).map(|member| member.run.incarnation);
         claims::route(key, self.parts.me, live)
     }
 
@@ -284,7 +284,7 @@
             .parts
             .view
             .load()
-            .member(owner.daemon)
+            .issuer(owner.daemon)
             .map(|m| m.peer_address);
         let Some(address) = member else {
             return Err(Refusal::unknown(Reason::KeyOwnerGone));
@@ -328,7 +328,7 @@
                     .parts
                     .view
                     .load()
-                    .member(owner.daemon)
+                    .issuer(owner.daemon)
                     .map(|m| m.peer_address);
                 let Some(address) = address else {
                     return message::KeyState::Unknown;
--- a/crates/corianderworks/src/telemetry.rs
+++ b/crates/corianderworks/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics.
 
+use std::io::IsTerminal;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 ];
 
 /// Filter in use unless `RUST_LOG` is set.
-const DEFAULT_FILTER: &str = "info,quinn=warn,hyper=warn";
+const DEFAULT_FILTER: &str = "info,quinn=warn,hyper=warn,kameo=warn";
 
 /// Failure to set up logs or metrics.
 #[derive(Debug, thiserror::Error)]
@@ -43,6 +44,7 @@
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_target(false);
     let started = match format {
         LogFormat::Text => lines.try_init(),
--- a/crates/corianderworks/src/view.rs
+++ b/crates/corianderworks/src/view.rs
@@ -238,6 +238,8 @@
     pub table: Arc<Table>,
     /// Daemons that take part in placement.
     pub members: Arc<Vec<MemberView>>,
+    /// Daemons that leave. They take no part in placement, but answer for the keys they issued.
+    pub leaving: Arc<Vec<MemberView>>,
     /// Placement of each service.
     pub places: HashMap<ServiceKey, ServicePlace>,
 }
@@ -269,6 +271,7 @@
         Self {
             table,
             members,
+            leaving: Arc::default(),
             places,
         }
     }
@@ -278,6 +281,12 @@
         self.members.iter().find(|member| member.daemon == daemon)
     }
 
+    /// Finds a daemon that answers for the keys it issued: a member, or one that leaves.
+    pub fn issuer(&self, daemon: DaemonKey) -> Option<&MemberView> {
+        let leaving = || self.leaving.iter().find(|member| member.daemon == daemon);
+        self.member(daemon).or_else(leaving)
+    }
+
     /// Returns the two limit homes of a customer.
     pub fn limit_homes(&self, customer: CustomerKey) -> Vec<DaemonKey> {
         let candidates: Vec<Candidate> = self
--- a/crates/corianderworks_load/src/caller.rs
+++ b/crates/corianderworks_load/src/caller.rs
@@ -16,7 +16,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use parking_lot::Mutex;
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -33,6 +33,10 @@
 const REASON_HEADER: &str = "cw-reason";
 /// Longest wait for an address response.
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Daemons asked for an address response before a caller goes on without.
+const ADDRESS_TRIES: usize = 3;
+/// An address response is refreshed in the last part of its time, one over this number.
+const REFRESH_SHARE: u32 = 4;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -63,6 +67,7 @@
 struct Cache {
     response: Option<(Arc<Addresses>, Instant)>,
     refreshing: bool,
+    fetch_again: Option<Instant>,
 }
 
 /// One caller with its own connections and address cache.
@@ -222,40 +227,58 @@
         sleep(Duration::from_millis(wait)).await;
     }
 
-    /// Cached address response. An expired one is used while it is refreshed.
+    /// Cached address response, refreshed ahead of its expiry. An expired one is used only while
+    /// no daemon gives a new one, because its key prefix may be of a daemon that has stopped.
     async fn addresses(self: &Arc<Self>, service: &str) -> Option<Arc<Addresses>> {
         let cache = {
             let mut caches = self.caches.lock();
             caches.entry(service.to_owned()).or_default().clone()
         };
         let mut guard = cache.lock().await;
-        match &guard.response {
-            Some((addresses, expires)) => {
-                let addresses = addresses.clone();
-                if *expires <= Instant::now() && !guard.refreshing {
-                    guard.refreshing = true;
-                    let (caller, service) = (self.clone(), service.to_owned());
-                    let cache = cache.clone();
-                    tokio::spawn(async move {
-                        let fetched = caller.fetch(&service).await;
-                        let mut guard = cache.lock().await;
-                        guard.refreshing = false;
-                        if fetched.is_some() {
-                            guard.response = fetched;
-                        }
-                    });
-                }
-                Some(addresses)
+        let now = Instant::now();
+        if let Some((addresses, expires)) = &guard.response {
+            let (addresses, left) = (addresses.clone(), expires.saturating_duration_since(now));
+            if left < addresses.keep() / REFRESH_SHARE && !guard.refreshing {
+                guard.refreshing = true;
+                let (caller, service) = (self.clone(), service.to_owned());
+                let cache = cache.clone();
+                tokio::spawn(async move {
+                    let fetched = caller.fetch(&service).await;
+                    let mut guard = cache.lock().await;
+                    guard.refreshing = false;
+                    if fetched.is_some() {
+                        guard.response = fetched;
+                    }
+                });
             }
-            None => {
-                guard.response = self.fetch(service).await;
-                Some(guard.response.as_ref()?.0.clone())
+            if !left.is_zero() || guard.fetch_again.is_some_and(|at| now < at) {
+                return Some(addresses);
             }
         }
+        match self.fetch(service).await {
+            Some(fetched) => guard.response = Some(fetched),
+            None => guard.fetch_again = Some(Instant::now() + ADDRESS_TIMEOUT),
+        }
+        Some(guard.response.as_ref()?.0.clone())
     }
 
+    /// Asks the daemons in random order until one answers.
     async fn fetch(&self, service: &str) -> Option<(Arc<Addresses>, Instant)> {
-        let daemon = *self.settings.daemons.choose(&mut *self.random.lock())?;
+        let mut daemons = self.settings.daemons.clone();
+        daemons.shuffle(&mut *self.random.lock());
+        for daemon in daemons.into_iter().take(ADDRESS_TRIES) {
+            if let Some(fetched) = self.fetch_from(daemon, service).await {
+                return Some(fetched);
+            }
+        }
+        None
+    }
+
+    async fn fetch_from(
+        &self,
+        daemon: SocketAddr,
+        service: &str,
+    ) -> Option<(Arc<Addresses>, Instant)> {
         let domain = &self.domain;
         let uri = format!("http://{daemon}/v1/addresses?service={service}&domain={domain}");
         let fetched = timeout(ADDRESS_TIMEOUT, async {
