Use one enum of refusal reasons and count allowance from the member change

Cause: refusal.rs had reasons, names and statuses of its own that differed from the documented ones, and refused a missing `cw-customer` as an unknown customer. Three further faults were found on the way: * An idempotent request that failed at one home or upstream after it may have run could be refused with `not run` when its retry was refused. * A draining home's refusal was not tried at another home. * A limit home noted a change of the members at the next request instead of when it happened, so the first requests of a customer far below its rate got 429, and the latency command always failed.

Change: refusal.rs uses reasons::Reason; Refusal holds the outcome and Retry-After. New reasons with rows in refusals.md: bad-request, bad-deadline, method, key-conflict, key-not-run, daemon-full. Refusals after an attempt that may have run are `unknown`. Grants compare the members at every tick of the control loop; the latency command waits for the allowance that a limit home saves up.

Conclusion: the reasons are one documented set. No test reaches the refusal after an attempt; three attempts to provoke it with a fleet did not refuse a retry.

--- a/crates/corianderworks/src/api.rs
+++ b/crates/corianderworks/src/api.rs
@@ -14,7 +14,8 @@
 use crate::control::Shared;
 use crate::headers;
 use crate::proxy::Entry;
-use crate::refusal::{Reason, Refusal};
+use crate::reasons::Reason;
+use crate::refusal::Refusal;
 
 /// Address response.
 #[derive(Debug, Serialize)]
--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -38,7 +38,8 @@
 use crate::permits::PermitKeeper;
 use crate::platform::PlatformClient;
 use crate::proxy::{Entry, EntryParts};
-use crate::refusal::{Reason, Refusal};
+use crate::reasons::Reason;
+use crate::refusal::Refusal;
 use crate::upstream::Upstreams;
 
 /// Time between two ticks of the control loop. Stalls are noticed at a tick.
@@ -165,7 +166,7 @@
             control: control.clone(),
         };
         tasks.push(tokio::spawn(Arc::new(peer_service).run(opened)));
-        tasks.push(tokio::spawn(tick(control.clone())));
+        tasks.push(tokio::spawn(tick(control.clone(), grants.clone())));
         tasks.push(tokio::spawn(read_vms(
             platform.clone(),
             shared.clone(),
@@ -361,11 +362,12 @@
     }
 }
 
-async fn tick(control: ActorRef<Control<SystemClock>>) {
+async fn tick(control: ActorRef<Control<SystemClock>>, grants: Arc<Grants<SystemClock>>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
+        grants.note_members();
         if control.tell(ControlEvent::Tick).await.is_err() {
             return;
         }
@@ -522,7 +524,7 @@
         Some(response) => response,
         // Callers that still know this daemon use another address of their address response.
         None if matches!(phase, Phase::Draining | Phase::Stopped) => {
-            Refusal::not_run(Reason::NotReady).response()
+            Refusal::not_run(Reason::Draining).response()
         }
         None => entry.serve(request, caller).await,
     };
--- a/crates/corianderworks/src/grants.rs
+++ b/crates/corianderworks/src/grants.rs
@@ -15,7 +15,8 @@
 use tokio::sync::Notify;
 
 use crate::peer::Peers;
-use crate::refusal::Reason;
+use crate::reasons::Reason;
+use crate::refusal::Refusal;
 use crate::view::{MemberView, PlanEntry, View};
 
 /// Allowance of customers at an entry and at their limit homes.
@@ -69,7 +70,7 @@
         self: &Arc<Self>,
         customer: CustomerKey,
         plan: &PlanEntry,
-    ) -> Result<ConcurrencyGuard, Reason> {
+    ) -> Result<ConcurrencyGuard, Refusal> {
         let allowance = allowance(plan);
         let mut repeated = false;
         loop {
@@ -89,9 +90,14 @@
                 Admission::Wait => {
                     let _ = tokio::time::timeout(ASK_TIMEOUT, answered).await;
                 }
-                Admission::OverRate { retry_after } => return Err(Reason::RateLimit(retry_after)),
-                Admission::OverConcurrency => return Err(Reason::Concurrency),
-                Admission::Full => return Err(Reason::Overload),
+                Admission::OverRate { retry_after } => {
+                    return Err(Refusal {
+                        retry_after: Some(retry_after),
+                        ..Refusal::not_run(Reason::Rate)
+                    });
+                }
+                Admission::OverConcurrency => return Err(Refusal::not_run(Reason::Concurrency)),
+                Admission::Full => return Err(Refusal::not_run(Reason::DaemonFull)),
             }
             repeated = true;
         }
@@ -139,24 +145,33 @@
     fn homes(&self, customer: CustomerKey) -> [Option<DaemonKey>; 2] {
         let view = self.view.load();
         let mut placed = self.placed.lock();
-        if !Arc::ptr_eq(&placed.members, &view.members) {
-            let same = placed
-                .members
-                .iter()
-                .map(|m| m.daemon)
-                .eq(view.members.iter().map(|m| m.daemon));
-            placed.members = view.members.clone();
-            if !same {
-                placed.homes.clear();
-                self.home.lock().members_changed(self.clock.now());
-            }
-        }
+        self.compare_members(&mut placed, &view);
         *placed.homes.entry(customer).or_insert_with(|| {
             let homes = view.limit_homes(customer);
             [homes.first().copied(), homes.get(1).copied()]
         })
     }
 
+    /// Notes a change of the members when it happens. A limit home grants nothing for a while
+    /// after it, and noted at the next request this time would begin with that request.
+    pub fn note_members(&self) {
+        let view = self.view.load();
+        self.compare_members(&mut self.placed.lock(), &view);
+    }
+
+    fn compare_members(&self, placed: &mut Placed, view: &View) {
+        if Arc::ptr_eq(&placed.members, &view.members) {
+            return;
+        }
+        let before = placed.members.iter().map(|m| m.daemon);
+        let same = before.eq(view.members.iter().map(|m| m.daemon));
+        placed.members = view.members.clone();
+        if !same {
+            placed.homes.clear();
+            self.home.lock().members_changed(self.clock.now());
+        }
+    }
+
     fn send(self: &Arc<Self>, sent: SentAsk) {
         if sent.home == self.me {
             return self.settle(sent, self.answer_local(sent.ask).ok_or(AskFailure::NotHome));
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -22,7 +22,8 @@
 use crate::body::{self, Body, BodyEnd, Watched};
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
-use crate::refusal::{Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 use crate::upstream::{Checkout, Failed, Upstreams};
 
 /// What the control loop has to do for a home.
@@ -82,6 +83,25 @@
     },
 }
 
+impl Step {
+    /// Turns a refusal with "not run" into "unknown", after another attempt that may have run.
+    fn after_attempt(mut self) -> Self {
+        let (Self::Reply(reply)
+        | Self::Failed {
+            otherwise: reply, ..
+        }) = &mut self;
+        if let Err(refusal) = reply {
+            *refusal = refusal.after_attempt();
+        }
+        self
+    }
+}
+
+/// Whether an attempt with this reply may have run.
+fn ran(reply: &Reply) -> bool {
+    !matches!(reply, Err(refusal) if refusal.outcome == RefusalOutcome::NotRun)
+}
+
 impl<C> Home<C>
 where
     C: Clock,
@@ -154,11 +174,20 @@
             idempotent: job.head.idempotent,
             tried: Vec::new(),
         };
+        let mut may_have_run = false;
         loop {
             request.ticket = Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed));
-            let guard = self.acquire(&request).await?;
+            let guard = match self.acquire(&request).await {
+                Ok(guard) => guard,
+                Err(refusal) if may_have_run => return Err(refusal.after_attempt()),
+                Err(refusal) => return Err(refusal),
+            };
             let upstream = guard.upstream();
-            match self.exchange_hedged(guard, job, &request).await {
+            let mut step = self.exchange_hedged(guard, job, &request).await;
+            if may_have_run {
+                step = step.after_attempt();
+            }
+            match step {
                 Step::Reply(reply) => return reply,
                 Step::Failed {
                     outcome,
@@ -167,6 +196,7 @@
                 } => {
                     let may =
                         self.read(|dispatcher, now| dispatcher.may_retry(now, &request, outcome));
+                    may_have_run |= ran(&otherwise);
                     match (may, again) {
                         (Retry::Retry, Some(again)) => job = *again,
                         _ => return otherwise,
@@ -196,7 +226,7 @@
         match receiver.await {
             Ok(Granted::Run(lease)) => Ok(self.guard(&mut self.state.lock(), lease)),
             Ok(Granted::Refused(reason)) => Err(refuse(reason)),
-            Err(_) => Err(Refusal::not_run(Reason::Unavailable)),
+            Err(_) => Err(Refusal::not_run(Reason::NoUpstream)),
         }
     }
 
@@ -247,7 +277,7 @@
             return first.await;
         };
         let mut second = Box::pin(self.exchange(second, copy));
-        tokio::select! {
+        let step = tokio::select! {
             step = &mut first => match step {
                 Step::Failed { .. } => second.await,
                 reply => reply,
@@ -256,7 +286,9 @@
                 Step::Failed { .. } => first.await,
                 reply => reply,
             },
-        }
+        };
+        // Whatever the step says, the other attempt may have run.
+        step.after_attempt()
     }
 
     /// Exchanges a request with one backend server.
@@ -274,7 +306,7 @@
         let unsent = |again| Step::Failed {
             outcome: Outcome::ConnectFailed,
             again: Some(Box::new(again)),
-            otherwise: Err(Refusal::not_run(Reason::Unavailable)),
+            otherwise: Err(Refusal::not_run(Reason::NoUpstream)),
         };
         let Some(address) = self.address(guard.upstream()) else {
             guard.finish(Outcome::ConnectFailed);
@@ -308,7 +340,7 @@
                 let upstream = guard.upstream();
                 guard.finish(Outcome::Stalled { latency });
                 self.drive(|d, now| d.silent_connection(now, upstream, born));
-                let otherwise = Err(Refusal::unknown(Reason::Deadline));
+                let otherwise = Err(Refusal::unknown(Reason::BackendTimeout));
                 Step::Failed {
                     outcome: Outcome::Stalled { latency },
                     again: replay(),
@@ -365,7 +397,7 @@
         if outcome_field.is_some_and(|value| value == "not-run") && !status.is_success() {
             let outcome = Outcome::NotRun { latency };
             guard.finish(outcome);
-            let otherwise = Err(Refusal::not_run(Reason::Overload));
+            let otherwise = Err(Refusal::not_run(Reason::BackendShed));
             return Step::Failed {
                 outcome,
                 again,
@@ -569,7 +601,7 @@
     pub async fn run(&self, job: Job) -> Reply {
         match self.get(job.head.service_key()) {
             Some(home) => home.run(job).await,
-            None => Err(Refusal::not_run(Reason::Unavailable)),
+            None => Err(Refusal::not_run(Reason::NoUpstream)),
         }
     }
 
@@ -583,9 +615,10 @@
 
 fn refuse(reason: QueueReason) -> Refusal {
     Refusal::not_run(match reason {
-        QueueReason::QueueFull | QueueReason::Shed => Reason::Overload,
+        QueueReason::QueueFull => Reason::QueueFull,
+        QueueReason::Shed => Reason::Shed,
         QueueReason::Late => Reason::Deadline,
-        QueueReason::NoUpstream => Reason::Unavailable,
+        QueueReason::NoUpstream => Reason::NoUpstream,
     })
 }
 
--- a/crates/corianderworks/src/keys.rs
+++ b/crates/corianderworks/src/keys.rs
@@ -21,7 +21,8 @@
 use crate::headers;
 use crate::job::{JobHead, Reply};
 use crate::platform::{PlatformClient, PlatformError, WriteOutcome};
-use crate::refusal::{Ran, Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 
 /// Writes per second that claims of the whole fleet may use, out of the platform's several
 /// hundred; permits and lists need the rest.
@@ -112,14 +113,14 @@
                 Begin::InProgress => {
                     let left = head.time_left(now);
                     if tokio::time::timeout(left, ended).await.is_err() {
-                        return refuse(Refusal::unknown(Reason::InProgress));
+                        return refuse(Refusal::unknown(Reason::KeyRunning));
                     }
                 }
                 Begin::Done(status) => return Err(Box::new(Ok(done(status)))),
-                Begin::Unknown => return refuse(Refusal::unknown(Reason::KeyOwnerGone)),
+                Begin::Unknown => return refuse(Refusal::unknown(Reason::KeyLost)),
                 Begin::NotRun(reason) => return refuse(Refusal::not_run(not_run(reason))),
                 Begin::NotRunConflict => return refuse(Refusal::not_run(Reason::KeyConflict)),
-                Begin::Full => return refuse(Refusal::not_run(Reason::Overload)),
+                Begin::Full => return refuse(Refusal::not_run(Reason::DaemonFull)),
             }
         }
     }
@@ -183,7 +184,7 @@
                 }
                 ClaimAction::Answer(answer) => return Err(Box::new(claim_reply(answer))),
                 ClaimAction::Record(..) | ClaimAction::Nothing => {
-                    return refuse(Refusal::unknown(Reason::ClaimUnavailable));
+                    return refuse(Refusal::unknown(Reason::PlatformDown));
                 }
             };
         }
@@ -249,9 +250,9 @@
         let response = match reply {
             Ok(response) => response,
             Err(refusal) => {
-                self.end(match refusal.ran {
-                    Ran::No => Outcome::NotRun,
-                    Ran::Unknown => Outcome::Unknown,
+                self.end(match refusal.outcome {
+                    RefusalOutcome::NotRun => Outcome::NotRun,
+                    RefusalOutcome::Unknown => Outcome::Unknown,
                 });
                 return Err(refusal);
             }
@@ -300,11 +301,10 @@
     match reason {
         NotRunReason::TooLate => Reason::Deadline,
         NotRunReason::Conflict => Reason::KeyConflict,
-        NotRunReason::OverBudget | NotRunReason::Outage => Reason::ClaimUnavailable,
-        NotRunReason::Refused
-        | NotRunReason::Abandoned
-        | NotRunReason::Full
-        | NotRunReason::Asked => Reason::Overload,
+        NotRunReason::OverBudget => Reason::ClaimBudget,
+        NotRunReason::Outage => Reason::PlatformDown,
+        NotRunReason::Full => Reason::DaemonFull,
+        NotRunReason::Refused | NotRunReason::Abandoned | NotRunReason::Asked => Reason::KeyNotRun,
     }
 }
 
@@ -312,8 +312,8 @@
     match answer {
         ClaimAnswer::Done(status) => Ok(done(status)),
         ClaimAnswer::NotRun(reason) => Err(Refusal::not_run(not_run(reason))),
-        ClaimAnswer::Held(_) => Err(Refusal::unknown(Reason::InProgress)),
-        ClaimAnswer::Unknown => Err(Refusal::unknown(Reason::ClaimUnavailable)),
+        ClaimAnswer::Held(_) => Err(Refusal::unknown(Reason::KeyRunning)),
+        ClaimAnswer::Unknown => Err(Refusal::unknown(Reason::PlatformDown)),
     }
 }
 
--- a/crates/corianderworks/src/latency.rs
+++ b/crates/corianderworks/src/latency.rs
@@ -25,6 +25,8 @@
 const BODY_BYTES: usize = 1_024;
 /// Requests per second on each path.
 const RATE_PER_S: u32 = 250;
+/// After a change of the members, limit homes save up allowance before they grant any.
+const ALLOWANCE_TIME: Duration = Duration::from_secs(1);
 /// Added latency allowed for 99 in 100 requests, in microseconds.
 const TARGET_US: u64 = 2_100;
 
@@ -81,6 +83,7 @@
     {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    tokio::time::sleep(ALLOWANCE_TIME).await;
     let direct = fleet
         .backends
         .iter()
--- a/crates/corianderworks/src/peer_service.rs
+++ b/crates/corianderworks/src/peer_service.rs
@@ -15,7 +15,8 @@
 use crate::job::JobHead;
 use crate::peer::{PeerError, recv_message, send_message};
 use crate::proxy::Entry;
-use crate::refusal::{Reason, Refusal};
+use crate::reasons::Reason;
+use crate::refusal::Refusal;
 use crate::relay;
 use crate::store;
 
@@ -110,7 +111,7 @@
         let _in_flight = self.entry.start_request();
         let allows = self.shared.phase().allows();
         let Some(head) = JobHead::from_relay(head, self.entry.parts.clock.now()) else {
-            let refusal = Err(Refusal::not_run(Reason::BadRequest("relay")));
+            let refusal = Err(Refusal::not_run(Reason::BadRequest));
             return relay::send_reply(&mut send, request_id, refusal, (0, 0)).await;
         };
         let service = head.service_key();
@@ -119,9 +120,9 @@
         let run = async {
             match purpose {
                 _ if allows.relayed_requests || allows.caller_requests => {}
-                RelayPurpose::Dispatch => return Err(Refusal::not_run(Reason::NotReady)),
+                RelayPurpose::Dispatch => return Err(Refusal::not_run(Reason::Draining)),
                 // An earlier arrival of the same key may have run.
-                RelayPurpose::KeyOwner => return Err(Refusal::unknown(Reason::NotReady)),
+                RelayPurpose::KeyOwner => return Err(Refusal::unknown(Reason::Draining)),
             }
             match purpose {
                 RelayPurpose::Dispatch => self.entry.parts.homes.run(job).await,
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -27,7 +27,8 @@
 use crate::job::{Job, JobHead, Reply};
 use crate::keys::Keys;
 use crate::peer::Peers;
-use crate::refusal::{Ran, Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 use crate::relay::{self, RelayError};
 use crate::view::{RouteMatch, View};
 
@@ -104,8 +105,8 @@
 enum Next {
     /// The job is settled.
     Reply(Reply),
-    /// The job goes to the next home.
-    Again(Job),
+    /// The job goes to the next home; the refusal is for the case that there is none.
+    Again(Job, Refusal),
 }
 
 impl<C> Entry<C>
@@ -168,12 +169,7 @@
         let plan = view.table.plan(&head.customer);
         let plan = plan.ok_or(Refusal::not_run(Reason::UnknownCustomer))?;
         let customer = head.customer_key();
-        let place = self
-            .parts
-            .grants
-            .admit(customer, plan)
-            .await
-            .map_err(Refusal::not_run)?;
+        let place = self.parts.grants.admit(customer, plan).await?;
         let pause = Duration::from_millis(u64::from(self.parts.limits.body_pause_ms));
         let body = Guarded::new(body::incoming(body), self.parts.limits.body_bytes, pause);
         Ok((
@@ -191,10 +187,10 @@
         parts: &mut http::request::Parts,
         caller: SocketAddr,
     ) -> Result<JobHead, Reason> {
-        headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
+        headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest)?;
         let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
-            .map_err(|_| Reason::BadRequest("cw-customer"))?
-            .ok_or(Reason::UnknownCustomer)?;
+            .map_err(|_| Reason::NoCustomer)?
+            .ok_or(Reason::NoCustomer)?;
         let plan = view.table.plan(customer).ok_or(Reason::UnknownCustomer)?;
         let route = match view.table.route(&parts.method, parts.uri.path()) {
             RouteMatch::Found(route) => route,
@@ -202,10 +198,10 @@
             RouteMatch::NoRoute => return Err(Reason::NoRoute),
         };
         if !plan.allows(route) {
-            return Err(Reason::NotAllowed);
+            return Err(Reason::PlanForbids);
         }
         let key = headers::single(&parts.headers, &headers::IDEMPOTENCY_KEY, "idempotency-key")
-            .map_err(|_| Reason::BadRequest("idempotency-key"))?
+            .map_err(|_| Reason::KeyInvalid)?
             .map(str::to_owned);
         let customer: Arc<str> = customer.into();
         let timeout = self.timeout(parts, route.timeout)?;
@@ -231,11 +227,9 @@
 
     fn timeout(&self, parts: &http::request::Parts, route: Duration) -> Result<Duration, Reason> {
         let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
-            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+            .map_err(|_| Reason::BadDeadline)?;
         let Some(text) = text else { return Ok(route) };
-        let left_ms: u64 = text
-            .parse()
-            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+        let left_ms: u64 = text.parse().map_err(|_| Reason::BadDeadline)?;
         Ok(route.min(Duration::from_millis(left_ms)))
     }
 
@@ -247,8 +241,8 @@
         match self.key_route(&key) {
             KeyRoute::Here => self.run_issued(job).await,
             KeyRoute::Relay(owner) => self.relay_to_owner(owner, job).await,
-            KeyRoute::OwnerGone(_) => Err(Refusal::unknown(Reason::KeyOwnerGone)),
-            KeyRoute::Malformed => Err(Refusal::not_run(Reason::BadRequest("idempotency-key"))),
+            KeyRoute::OwnerGone(_) => Err(Refusal::unknown(Reason::KeyLost)),
+            KeyRoute::Malformed => Err(Refusal::not_run(Reason::KeyInvalid)),
             KeyRoute::NeedsClaim => match self.parts.keys.claim(&key, &job.head).await {
                 Ok(guard) => guard.settle(self.run(job).await),
                 Err(reply) => *reply,
@@ -270,7 +264,7 @@
             .as_deref()
             .and_then(|key| key.parse::<IssuedKey>().ok());
         let Some(key) = key.filter(|key| key.run == self.parts.me) else {
-            return Err(Refusal::unknown(Reason::KeyOwnerGone));
+            return Err(Refusal::unknown(Reason::KeyLost));
         };
         match self.parts.keys.begin(&key, &job.head).await {
             Ok(guard) => guard.settle(self.run(job).await),
@@ -287,7 +281,7 @@
             .issuer(owner.daemon)
             .map(|m| m.peer_address);
         let Some(address) = member else {
-            return Err(Refusal::unknown(Reason::KeyOwnerGone));
+            return Err(Refusal::unknown(Reason::KeyLost));
         };
         let (purpose, me) = (RelayPurpose::KeyOwner, self.parts.me);
         let now = self.parts.clock.now();
@@ -306,7 +300,7 @@
             // An earlier arrival of the same key may have run, so this is not "not run".
             Err(RelayError::NotSent(_, error) | RelayError::Sent(error)) => {
                 tracing::warn!("relay: the issuer of a key can't be reached: {error}");
-                Err(Refusal::unknown(Reason::Unavailable))
+                Err(Refusal::unknown(Reason::RelayLost))
             }
         }
     }
@@ -349,9 +343,10 @@
         let service = job.head.service_key();
         let homes = self.rank_homes(service);
         if homes.is_empty() {
-            return Err(Refusal::not_run(Reason::Unavailable));
+            return Err(Refusal::not_run(Reason::NoUpstream));
         }
-        let mut last = Refusal::not_run(Reason::Unavailable);
+        let mut last = Refusal::not_run(Reason::NoUpstream);
+        let mut may_have_run = false;
         for home in homes.into_iter().take(HOMES_PER_REQUEST) {
             let replay = Replay::of(&job);
             let next = if home == self.parts.me.daemon {
@@ -360,15 +355,20 @@
                 self.relay_to(home, job, replay).await
             };
             match next {
-                Next::Reply(Err(refusal)) => return Err(refusal),
+                Next::Reply(Err(refusal)) if may_have_run => return Err(refusal.after_attempt()),
                 Next::Reply(reply) => return reply,
-                Next::Again(again) => {
-                    last = Refusal::not_run(Reason::Overload);
+                Next::Again(again, refusal) => {
+                    may_have_run |= refusal.outcome == RefusalOutcome::Unknown;
+                    last = refusal;
                     job = again;
                 }
             }
         }
-        Err(last)
+        Err(if may_have_run {
+            last.after_attempt()
+        } else {
+            last
+        })
     }
 
     async fn relay_to(self: &Arc<Self>, home: DaemonKey, job: Job, replay: Replay) -> Next {
@@ -383,7 +383,7 @@
             .member(home)
             .map(|member| member.peer_address);
         let Some(address) = address else {
-            return Next::Again(job);
+            return Next::Again(job, Refusal::not_run(Reason::NoUpstream));
         };
         let sent = relay::relay(
             &self.parts.peers,
@@ -403,14 +403,16 @@
             Err(RelayError::NotSent(job, error)) => {
                 tracing::warn!("relay: {error}; trying another home");
                 self.note_load(home, service, 0, u16::MAX);
-                Next::Again(*job)
+                Next::Again(*job, Refusal::not_run(Reason::NoUpstream))
             }
             Err(RelayError::Sent(error)) => {
                 tracing::warn!("relay: {error}; the request may have run");
                 self.note_load(home, service, 0, u16::MAX);
                 match replay {
-                    Replay::Idempotent(job) => Next::Again(job),
-                    _ => Next::Reply(Err(Refusal::unknown(Reason::Unavailable))),
+                    Replay::Idempotent(job) => {
+                        Next::Again(job, Refusal::unknown(Reason::RelayLost))
+                    }
+                    _ => Next::Reply(Err(Refusal::unknown(Reason::RelayLost))),
                 }
             }
         }
@@ -498,19 +500,31 @@
 }
 
 fn settle(reply: Reply, replay: Replay) -> Next {
-    let elsewhere = matches!(
-        &reply,
-        Err(Refusal {
-            ran: Ran::No,
-            reason: Reason::Overload | Reason::Unavailable
-        })
-    );
+    let refusal = match reply {
+        Err(refusal) if is_of_one_home(&refusal) => refusal,
+        reply => return Next::Reply(reply),
+    };
     match replay {
-        Replay::Idempotent(job) | Replay::IfNotRun(job) if elsewhere => Next::Again(job),
-        _ => Next::Reply(reply),
+        Replay::Idempotent(job) | Replay::IfNotRun(job) => Next::Again(job, refusal),
+        Replay::Never => Next::Reply(Err(refusal)),
     }
 }
 
+/// Whether another home may run what this one did not.
+fn is_of_one_home(refusal: &Refusal) -> bool {
+    let not_run = refusal.outcome == RefusalOutcome::NotRun;
+    not_run
+        && matches!(
+            refusal.reason,
+            Reason::QueueFull
+                | Reason::Shed
+                | Reason::BackendShed
+                | Reason::NoUpstream
+                | Reason::NotReady
+                | Reason::Draining
+        )
+}
+
 fn key_state(state: KeyState) -> message::KeyState {
     match state {
         KeyState::NotRun => message::KeyState::NotRun,
--- a/crates/corianderworks/src/reasons.rs
+++ b/crates/corianderworks/src/reasons.rs
@@ -57,6 +57,12 @@
 }
 
 reasons! {
+    BadRequest, "bad-request", BAD_REQUEST, NotRun,
+        "The header fields are malformed or leave the end of the body open to doubt.",
+        "The caller must correct its header fields.";
+    BadDeadline, "bad-deadline", BAD_REQUEST, NotRun,
+        "`cw-deadline-ms` is no whole number of milliseconds.",
+        "The caller must correct `cw-deadline-ms`.";
     NoCustomer, "no-customer", BAD_REQUEST, NotRun,
         "The request has no valid `cw-customer`.",
         "The caller must send `cw-customer`.";
@@ -64,8 +70,11 @@
         "The customer is not in the list.",
         "Add the customer to customers.json, or correct the name at the caller.";
     NoRoute, "no-route", NOT_FOUND, NotRun,
-        "No route matches the path and method.",
-        "Compare the path and method with the routes in plans.json.";
+        "No route matches the path.",
+        "Compare the path with the routes in plans.json.";
+    Method, "method", METHOD_NOT_ALLOWED, NotRun,
+        "A route has this path, but not this method.",
+        "Compare the method with `methods` of the route in plans.json.";
     PlanForbids, "plan-forbids", FORBIDDEN, NotRun,
         "The customer's plan does not include the route.",
         "Add the route to the plan's `uses`, or move the customer to another plan.";
@@ -97,7 +106,7 @@
         "The backend server did not respond in time.",
         "Look at the upstream's state in `status`; the caller asks for the key's state.";
     RelayLost, "relay-lost", BAD_GATEWAY, Unknown,
-        "The daemon that handled the request was lost.",
+        "The daemon that handled the request was lost, or cannot be reached.",
         "Nothing if a VM failed; the caller asks for the key's state.";
     KeyLost, "key-lost", CONFLICT, Unknown,
         "The daemon run that issued the key is gone.",
@@ -108,6 +117,12 @@
     KeyInvalid, "key-invalid", BAD_REQUEST, NotRun,
         "The key is malformed or expired.",
         "The caller must ask for a new key prefix.";
+    KeyConflict, "key-conflict", CONFLICT, NotRun,
+        "The key was used for another request.",
+        "The caller must use a key of its own for each request.";
+    KeyNotRun, "key-not-run", SERVICE_UNAVAILABLE, NotRun,
+        "An earlier arrival of the key was refused, so the key never runs.",
+        "The caller repeats the request with a new key.";
     ClaimBudget, "claim-budget", SERVICE_UNAVAILABLE, NotRun,
         "The write budget for keys made by callers is used up.",
         "Callers should use issued key prefixes; these need no write.";
@@ -123,6 +138,9 @@
     TooLarge, "too-large", PAYLOAD_TOO_LARGE, NotRun,
         "The header fields or the body exceed a limit.",
         "Raise `limits` in the settings if the request is legitimate.";
+    DaemonFull, "daemon-full", SERVICE_UNAVAILABLE, NotRun,
+        "The daemon's table of customers or keys is full.",
+        "Nothing if it passes; otherwise find the customer with the most requests or keys.";
 }
 
 impl Reason {
--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -19,7 +19,8 @@
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
 use crate::peer::{Channel, PeerError, Peers, recv_message, send_message};
-use crate::refusal::{Ran, Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 
 /// Code with which a stream is reset when its other end is no longer wanted.
 const CANCELLED: VarInt = VarInt::from_u32(1);
@@ -130,17 +131,20 @@
 /// Reads a refusal by the home; [`headers::prepare_response`] removes these fields from the
 /// responses of backend servers, so they can only come from a daemon.
 fn read_refusal(fields: &http::HeaderMap) -> Option<Refusal> {
-    let ran = match fields.get(headers::OUTCOME)?.as_bytes() {
-        b"not-run" => Ran::No,
-        _ => Ran::Unknown,
+    let outcome = match fields.get(headers::OUTCOME)?.as_bytes() {
+        b"not-run" => RefusalOutcome::NotRun,
+        _ => RefusalOutcome::Unknown,
     };
     let code = fields
         .get(headers::REASON)
         .and_then(|value| value.to_str().ok());
     let reason = code
-        .and_then(Reason::from_code)
-        .unwrap_or(Reason::Unavailable);
-    Some(Refusal { ran, reason })
+        .and_then(Reason::from_name)
+        .unwrap_or(Reason::RelayLost);
+    Some(Refusal {
+        outcome,
+        ..Refusal::not_run(reason)
+    })
 }
 
 fn recv_body(guard: RecvGuard) -> Body {
--- a/crates/corianderworks/tests/processes.rs
+++ b/crates/corianderworks/tests/processes.rs
@@ -243,7 +243,7 @@
         "broken off",
         "timed out",
         "past the deadline",
-        "502 key-owner-gone",
+        "409 key-lost",
     ] {
         assert!(
             !report.failures.contains_key(cut_off),
