Answer /v1/status and /v1/explain from the state of the daemon

Cause: the commands `status` and `explain` had no endpoint to ask.

Change: status_api.rs reads members from the control loop, homes, floor, healthy servers, queue, permits and owned upstreams from view and dispatcher, the audit record of the version in force, and whether the platform answers. Alarms raised so far: platform-unreachable, no-configuration, at-floor, no-permit, many-ejected and domain-lost. `explain` repeats the admission of a request without spending allowance.

Conclusion: operators see the daemon's own state; the other alarms of alarms.rs are not raised yet.

--- a/crates/corianderworks/src/api.rs
+++ b/crates/corianderworks/src/api.rs
@@ -16,6 +16,7 @@
 use crate::proxy::Entry;
 use crate::reasons::Reason;
 use crate::refusal::Refusal;
+use crate::status_api::StatusApi;
 
 /// Address response.
 #[derive(Debug, Serialize)]
@@ -44,6 +45,8 @@
     pub entry: Arc<Entry<C>>,
     /// What the control loop knows.
     pub shared: Arc<Shared>,
+    /// State for operators.
+    pub status: StatusApi<C>,
     /// Time that callers keep an address response, in seconds.
     pub keep_s: u32,
 }
@@ -60,6 +63,8 @@
             "/healthz" if get => Some(text(StatusCode::OK, "ok\n")),
             "/readyz" if get => Some(self.ready()),
             "/v1/addresses" if get => Some(self.addresses(request, caller)),
+            "/v1/status" if get => Some(json(&self.status.status().await)),
+            "/v1/explain" if get => Some(self.explain(request)),
             "/v1/keys" if post => Some(self.new_key()),
             path if get => {
                 let key = path.strip_prefix("/v1/keys/")?;
@@ -73,6 +78,20 @@
         }
     }
 
+    fn explain<B>(&self, request: &Request<B>) -> Response<Body> {
+        let query = request.uri().query().unwrap_or_default();
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(key, _)| *key == name);
+            found.and_then(|(_, value)| unescaped(value))
+        };
+        let (Some(customer), Some(path)) = (value("customer"), value("path")) else {
+            return text(StatusCode::BAD_REQUEST, "customer and path are needed\n");
+        };
+        let method = value("method").unwrap_or_else(|| "GET".to_owned());
+        json(&self.status.explain(&customer, &method, &path))
+    }
+
     fn key_prefix(&self) -> Option<String> {
         let allowed = self.shared.phase().allows().new_keys;
         allowed.then(|| self.entry.parts.keys.issue())
@@ -166,6 +185,21 @@
     }
 }
 
+/// Decodes the percent escapes of a query value; `None` when they are malformed.
+fn unescaped(value: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value.bytes();
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let mut digit = || char::from(rest.next()?).to_digit(16);
+        bytes.push((digit()? * 16 + digit()?) as u8);
+    }
+    String::from_utf8(bytes).ok()
+}
+
 fn key_answer(state: KeyState) -> Response<Body> {
     let (name, status) = match state {
         KeyState::NotRun => ("not-run", None),
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -34,6 +34,7 @@
 use crate::permits::PermitEvent;
 use crate::platform::{PlatformClient, Vm, VmKind, VmState};
 use crate::proxy::Entry;
+use crate::status_types::MemberStatus;
 use crate::store::{self, FetchError, Origin, Stored};
 use crate::upstream::Upstreams;
 use crate::view::{Backend, BackendState, MemberView, ServicePlace, Table, View};
@@ -195,6 +196,29 @@
     }
 }
 
+/// Asks the control loop for the members as it sees them.
+pub struct MembersAsk;
+
+impl<C> Message<MembersAsk> for Control<C>
+where
+    C: Clock,
+{
+    type Reply = Vec<MemberStatus>;
+
+    async fn handle(
+        &mut self,
+        _: MembersAsk,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let me = (self.membership.me(), self.membership.my_state());
+        let others = self.membership.members().map(|m| (&m.record, m.state));
+        others
+            .chain([me])
+            .map(|(record, state)| member_status(record, state))
+            .collect()
+    }
+}
+
 impl<C> Control<C>
 where
     C: Clock,
@@ -783,6 +807,24 @@
     }
 }
 
+fn member_status(record: &MemberRecord, state: MemberState) -> MemberStatus {
+    let state = match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspected",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    };
+    MemberStatus {
+        name: record.name.clone(),
+        region: record.region.clone(),
+        domain: record.domain.clone(),
+        peer_address: record.peer_address,
+        state: state.to_owned(),
+        version: record.config_version,
+    }
+}
+
 fn member_view(record: &MemberRecord, steady: bool) -> MemberView {
     MemberView {
         daemon: record.daemon(),
--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -40,6 +40,7 @@
 use crate::proxy::{Entry, EntryParts};
 use crate::reasons::Reason;
 use crate::refusal::Refusal;
+use crate::status_api::StatusApi;
 use crate::upstream::Upstreams;
 
 /// Time between two ticks of the control loop. Stalls are noticed at a tick.
@@ -213,6 +214,13 @@
         let api = Arc::new(Api {
             entry: entry.clone(),
             shared: shared.clone(),
+            status: StatusApi {
+                settings: settings.clone(),
+                entry: entry.clone(),
+                shared: shared.clone(),
+                control: control.clone(),
+                platform: platform.clone(),
+            },
             keep_s: settings.keep_s,
         });
         let stop_accepting = Arc::new(Notify::new());
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod run_commands;
+pub mod status_api;
 pub mod status_commands;
 pub mod status_types;
 pub mod store;
--- a/crates/corianderworks/src/platform.rs
+++ b/crates/corianderworks/src/platform.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 /// Largest response that the client accepts, in bytes. Values are limited to
@@ -150,6 +151,14 @@
     address: SocketAddr,
     timeouts: Timeouts,
     calls: Arc<AtomicU64>,
+    reached: Arc<Mutex<Reached>>,
+}
+
+/// Result of the last call, and the time of the last one that succeeded.
+#[derive(Debug, Default)]
+struct Reached {
+    now: bool,
+    last: Option<Instant>,
 }
 
 impl PlatformClient {
@@ -165,6 +174,7 @@
             address,
             timeouts,
             calls: Arc::default(),
+            reached: Arc::default(),
         }
     }
 
@@ -173,6 +183,12 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Whether the last call succeeded, and the time since the last one that did.
+    pub fn reachability(&self) -> (bool, Option<Duration>) {
+        let reached = self.reached.lock();
+        (reached.now, reached.last.map(|last| last.elapsed()))
+    }
+
     /// Reads an object; `None` if it does not exist.
     pub async fn read(&self, path: &str) -> Result<Option<Object>, PlatformError> {
         let request = self.request(Method::GET, &format!("/objects/{path}"))?;
@@ -306,6 +322,15 @@
             Ok(result) => result,
             Err(_) => Err(PlatformError::Timeout(limit)),
         };
+        let answered = |response: &Response<Bytes>| !response.status().is_server_error();
+        let success = result.as_ref().is_ok_and(answered);
+        {
+            let mut reached = self.reached.lock();
+            reached.now = success;
+            if success {
+                reached.last = Some(Instant::now());
+            }
+        }
         if let Err(PlatformError::Timeout(_) | PlatformError::Connection(_)) = &result {
             self.retire(&client);
         }
--- a/crates/corianderworks/src/status_types.rs
+++ b/crates/corianderworks/src/status_types.rs
@@ -103,7 +103,7 @@
     pub name: String,
     /// Its address.
     pub address: SocketAddr,
-    /// `healthy`, `cold`, `ejected`, `trial`, `ranked-last` or `leaving`.
+    /// `healthy`, `ejected`, `trial`, `ranked-last`, `path-fault` or `leaving`.
     pub state: String,
     /// Why it is in this state, if it is not healthy.
     pub reason: Option<String>,
--- /dev/null
+++ b/crates/corianderworks/tests/status.rs
@@ -0,0 +1,84 @@
+//! `status` and `explain` against a running fleet.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use corianderworks::fleet::{Fleet, ee_north};
+use corianderworks::status_types::{Explanation, Status};
+use corianderworks_standin::backend::BackendSettings;
+use corianderworks_standin::platform::PlatformFault;
+use serde::de::DeserializeOwned;
+
+async fn ask<T>(command: &str, daemon: SocketAddr, more: &[&str]) -> T
+where
+    T: DeserializeOwned,
+{
+    let mut process = Command::new(env!("CARGO_BIN_EXE_corianderworks"));
+    process.args([command, "--daemon", &daemon.to_string(), "--json"]);
+    process.args(more);
+    let output = tokio::task::spawn_blocking(move || process.output().unwrap()).await;
+    let output = output.unwrap();
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+/// Guards against status and explain showing something else than the daemon's own state.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn commands_show_the_state_of_a_running_fleet() {
+    let backend = BackendSettings::default();
+    let mut fleet = Fleet::start(ee_north(), backend, 4).await.unwrap();
+    fleet.add_daemons(4).await.unwrap();
+    let start = Instant::now();
+    let daemon = fleet.daemons[0].1.http_address;
+    let status = loop {
+        let status: Status = ask("status", daemon, &[]).await;
+        let is_whole = |s: &Status| s.ready && s.services.iter().all(|s| s.homes.len() == 4);
+        let has_permits = |s: &Status| s.services.iter().any(|s| !s.permits.is_empty());
+        if status.members.len() == 4 && is_whole(&status) && has_permits(&status) {
+            break status;
+        }
+        assert!(start.elapsed() < Duration::from_secs(20), "{status:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    };
+    assert_eq!(status.name, "entry-0");
+    assert!(status.members.iter().all(|m| m.state == "alive"));
+    let configuration = status.configuration.unwrap();
+    assert_eq!((configuration.version, &*configuration.who), (1, "fleet"));
+    assert!(status.platform.reachable && status.alarms.is_empty());
+    let ordering = status.services.iter().find(|s| s.name == "ordering");
+    let ordering = ordering.unwrap();
+    assert_eq!((ordering.healthy, ordering.floor), (11, 8));
+    assert!(ordering.upstreams.iter().all(|u| u.state == "healthy"));
+
+    let cases = [
+        ("customer-0", "GET", "/stock", None),
+        ("customer-0", "POST", "/ordering/orders", None),
+        ("customer-0", "DELETE", "/stock", Some("method")),
+        ("customer-0", "GET", "/none", Some("no-route")),
+        ("nobody & co", "GET", "/stock", Some("unknown-customer")),
+    ];
+    for (customer, method, path, reason) in cases {
+        let more = ["--customer", customer, "--method", method, "--path", path];
+        let explanation: Explanation = ask("explain", daemon, &more).await;
+        assert_eq!(explanation.reason.as_deref(), reason, "{explanation:?}");
+        assert_eq!(explanation.admitted, reason.is_none());
+        assert_eq!(explanation.limit_homes.len(), 2);
+        let is_placed = explanation.homes.len() == 4 && explanation.plan.is_some();
+        assert!(reason.is_some() || is_placed, "{explanation:?}");
+    }
+
+    fleet.platform.set_fault(PlatformFault {
+        outage: true,
+        ..PlatformFault::default()
+    });
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let status: Status = ask("status", daemon, &[]).await;
+    assert!(!status.platform.reachable);
+    assert!(
+        status
+            .alarms
+            .iter()
+            .any(|a| a.name == "platform-unreachable")
+    );
+}
--- a/crates/corianderworks_decision/src/dispatcher.rs
+++ b/crates/corianderworks_decision/src/dispatcher.rs
@@ -174,6 +174,11 @@
         actions
     }
 
+    /// Permits held, as last set.
+    pub fn permits(&self) -> Vec<PermitNumber> {
+        self.held.numbers().collect()
+    }
+
     /// True when the permit is in use or its last use may still be honoured somewhere.
     ///
     /// The daemon returns a permit to the platform only when this is false.
