Give each daemon of a process a name space of its own

Cause: services are registered under the daemon's name and its incarnation, the start in milliseconds. Tests that started an `entry-0` at the same millisecond failed with "service is already registered".

Change: the name space also carries a number that is unique in the process.

Conclusion: parallel fleets in one process no longer collide.

--- a/crates/corianderworks/src/kernel.rs
+++ b/crates/corianderworks/src/kernel.rs
@@ -4,6 +4,7 @@
 //! registered under the name of its daemon.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -20,6 +21,9 @@
     Missing(String),
 }
 
+/// Number of the next name space.
+static NEXT_SPACE: AtomicU64 = AtomicU64::new(0);
+
 /// Names of a daemon's services.
 #[derive(Debug, Clone)]
 pub struct Kernel {
@@ -27,10 +31,12 @@
 }
 
 impl Kernel {
-    /// Creates the name space of a daemon.
+    /// Creates the name space of a daemon. It is new also when another daemon of this process
+    /// has the same name and incarnation, as in tests that start at the same millisecond.
     pub fn new(daemon: &str) -> Self {
+        let number = NEXT_SPACE.fetch_add(1, Ordering::Relaxed);
         Self {
-            daemon: daemon.into(),
+            daemon: format!("{daemon}/{number}").into(),
         }
     }
 
