Serve /metrics

Cause: telemetry::Metrics existed, but no request was counted and no endpoint rendered it.

Change: the entry counts requests by outcome at the end of their responses, refusals by reason and relays, and records its added latency: the time to the response head less the time at the backend server or at the home. Ejections are counted by the control loop. metrics_api.rs reads slots in use, configuration version, platform calls and control bytes sent when it is asked.

Control bytes received are not counted.

--- a/crates/corianderworks/src/api.rs
+++ b/crates/corianderworks/src/api.rs
@@ -13,6 +13,7 @@
 use crate::body::{Body, full};
 use crate::control::Shared;
 use crate::headers;
+use crate::metrics_api::MetricsApi;
 use crate::proxy::Entry;
 use crate::reasons::Reason;
 use crate::refusal::Refusal;
@@ -45,6 +46,8 @@
     pub entry: Arc<Entry<C>>,
     /// What the control loop knows.
     pub shared: Arc<Shared>,
+    /// Metrics.
+    pub metrics: MetricsApi<C>,
     /// State for operators.
     pub status: StatusApi<C>,
     /// Time that callers keep an address response, in seconds.
@@ -63,6 +66,7 @@
             "/healthz" if get => Some(text(StatusCode::OK, "ok\n")),
             "/readyz" if get => Some(self.ready()),
             "/v1/addresses" if get => Some(self.addresses(request, caller)),
+            "/metrics" if get => Some(text(StatusCode::OK, &self.metrics.render())),
             "/v1/status" if get => Some(json(&self.status.status().await)),
             "/v1/explain" if get => Some(self.explain(request)),
             "/v1/keys" if post => Some(self.new_key()),
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -657,6 +657,11 @@
             HomeAction::Ejected { upstream, evidence } => {
                 let name = self.upstream_name(service, upstream);
                 tracing::warn!("health: {name} is ejected: {evidence:?}");
+                let view = self.parts.shared.view.load();
+                let mut services = view.table.services.keys();
+                if let Some(name) = services.find(|name| ServiceKey::of(name) == service) {
+                    self.parts.entry.parts.metrics.ejection(name);
+                }
             }
             HomeAction::Restored { upstream } => {
                 let name = self.upstream_name(service, upstream);
--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -33,6 +33,7 @@
 use crate::home::Homes;
 use crate::kernel::{Kernel, KernelError};
 use crate::keys::{EXPIRE_PERIOD, Keys};
+use crate::metrics_api::MetricsApi;
 use crate::peer::{PeerError, Peers};
 use crate::peer_service::PeerService;
 use crate::permits::PermitKeeper;
@@ -41,6 +42,7 @@
 use crate::reasons::Reason;
 use crate::refusal::Refusal;
 use crate::status_api::StatusApi;
+use crate::telemetry::{Metrics, TelemetryError};
 use crate::upstream::Upstreams;
 
 /// Time between two ticks of the control loop. Stalls are noticed at a tick.
@@ -70,6 +72,9 @@
     /// A service could not be registered.
     #[error(transparent)]
     Kernel(#[from] KernelError),
+    /// Metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] TelemetryError),
     /// The name can't be part of a header field.
     #[error("the daemon's name can't be part of a header field")]
     Name,
@@ -131,6 +136,7 @@
             limits: settings.limits.clone(),
             balance: settings.balance,
             via: via.clone(),
+            metrics: Metrics::new()?,
         }));
         let (home_events, mut home_receiver) = mpsc::unbounded_channel();
         let (permit_events, mut permit_receiver) = mpsc::unbounded_channel();
@@ -214,6 +220,7 @@
         let api = Arc::new(Api {
             entry: entry.clone(),
             shared: shared.clone(),
+            metrics: MetricsApi::new(entry.clone(), platform.clone()),
             status: StatusApi {
                 settings: settings.clone(),
                 entry: entry.clone(),
--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -22,6 +22,7 @@
 use crate::body::{self, Body, BodyEnd, Watched};
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
+use crate::metrics_api::Outside;
 use crate::reasons::{Reason, RefusalOutcome};
 use crate::refusal::Refusal;
 use crate::upstream::{Checkout, Failed, Upstreams};
@@ -420,7 +421,11 @@
                 otherwise,
             };
         }
-        let (parts, incoming) = self.prepare(response);
+        let (mut parts, incoming) = self.prepare(response);
+        parts.extensions.insert(Outside {
+            time: latency,
+            relayed: false,
+        });
         let watched = Watched::new(body::incoming(incoming), move |end| {
             let latency = guard.elapsed();
             guard.finish(match end {
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod list_store;
 pub mod lists_commands;
 pub mod measure_commands;
+pub mod metrics_api;
 pub mod peer;
 pub mod peer_service;
 pub mod permits;
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -26,10 +26,12 @@
 use crate::home::Homes;
 use crate::job::{Job, JobHead, Reply};
 use crate::keys::Keys;
+use crate::metrics_api::{self, Outside};
 use crate::peer::Peers;
 use crate::reasons::{Reason, RefusalOutcome};
 use crate::refusal::Refusal;
 use crate::relay::{self, RelayError};
+use crate::telemetry::Metrics;
 use crate::view::{RouteMatch, View};
 
 /// Homes that one request may be sent to. More would multiply the load of an overloaded service.
@@ -73,6 +75,8 @@
     pub balance: Balance,
     /// Value of `via`.
     pub via: HeaderValue,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 /// Entry of callers' requests.
@@ -141,15 +145,29 @@
         caller: SocketAddr,
     ) -> Response<Body> {
         let guard = self.start_request();
-        match self.admit(request, caller).await {
-            Ok((job, place)) => {
-                let reply = self.run_keyed(job).await;
-                let response = reply.unwrap_or_else(Refusal::response);
-                let hold = move |_| drop((guard, place));
-                response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
+        let start = self.parts.clock.now();
+        let metrics = self.parts.metrics.clone();
+        let admitted = self.admit(request, caller).await;
+        let reply = match admitted {
+            Ok((job, place)) => self.run_keyed(job).await.map(|reply| (reply, place)),
+            Err(refusal) => Err(refusal),
+        };
+        let (response, place) = match reply {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                metrics_api::count_refusal(&metrics, &refusal);
+                return refusal.response();
             }
-            Err(refusal) => refusal.response(),
+        };
+        if let Some(outside) = response.extensions().get::<Outside>() {
+            let total = self.parts.clock.now().saturating_sub(start);
+            metrics.added_latency(total.saturating_sub(outside.time), outside.relayed);
         }
+        let hold = move |end| {
+            metrics_api::count_end(&metrics, end);
+            drop((guard, place));
+        };
+        response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
     }
 
     /// Checks a request against the lists and turns it into a job.
@@ -398,7 +416,16 @@
         match sent {
             Ok(relayed) => {
                 self.note_load(home, service, relayed.free_slots, relayed.queued);
-                settle(relayed.reply, replay)
+                self.parts.metrics.relay();
+                let outside = Outside {
+                    time: self.parts.clock.now().saturating_sub(now),
+                    relayed: true,
+                };
+                let reply = relayed.reply.map(|mut response| {
+                    response.extensions_mut().insert(outside);
+                    response
+                });
+                settle(reply, replay)
             }
             Err(RelayError::NotSent(job, error)) => {
                 tracing::warn!("relay: {error}; trying another home");
--- a/crates/corianderworks/tests/status.rs
+++ b/crates/corianderworks/tests/status.rs
@@ -4,10 +4,15 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use corianderworks::fleet::{Fleet, ee_north};
 use corianderworks::status_types::{Explanation, Status};
 use corianderworks_standin::backend::BackendSettings;
 use corianderworks_standin::platform::PlatformFault;
+use http::Request;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use serde::de::DeserializeOwned;
 
 async fn ask<T>(command: &str, daemon: SocketAddr, more: &[&str]) -> T
@@ -23,7 +28,21 @@
     serde_json::from_slice(&output.stdout).unwrap()
 }
 
-/// Guards against status and explain showing something else than the daemon's own state.
+async fn metrics(daemon: SocketAddr) -> String {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let mut text = String::new();
+    for path in ["/stock", "/none", "/metrics"] {
+        let request = Request::get(format!("http://{daemon}{path}"))
+            .header("cw-customer", "customer-0")
+            .body(Empty::new())
+            .unwrap();
+        let body = client.request(request).await.unwrap().into_body();
+        text = String::from_utf8_lossy(&body.collect().await.unwrap().to_bytes()).into_owned();
+    }
+    text
+}
+
+/// Guards against status, explain and metrics showing something else than the daemon's own state.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn commands_show_the_state_of_a_running_fleet() {
     let backend = BackendSettings::default();
@@ -68,6 +87,23 @@
         assert!(reason.is_some() || is_placed, "{explanation:?}");
     }
 
+    let metrics = metrics(daemon).await;
+    for line in [
+        "corianderworks_requests_total{outcome=\"not-run\"} 1",
+        "corianderworks_requests_total{outcome=\"served\"} 1",
+        "corianderworks_refusals_total{reason=\"no-route\"} 1",
+        "corianderworks_configuration_version 1",
+    ] {
+        assert!(metrics.lines().any(|l| l == line), "{line} in {metrics}");
+    }
+    for name in [
+        "added_latency_seconds_count",
+        "platform_calls_total",
+        "control_bytes_total",
+    ] {
+        assert!(metrics.contains(name), "{name} in {metrics}");
+    }
+
     fleet.platform.set_fault(PlatformFault {
         outage: true,
         ..PlatformFault::default()
