--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -16,7 +16,7 @@
 use corianderworks_decision::drain::{Lifecycle, LifecycleAction, Phase, Progress};
 use corianderworks_decision::ids::{DaemonKey, DaemonRun, ServiceKey, UpstreamKey};
 use corianderworks_decision::membership::{
-    Action as MemberAction, Event as MemberEvent, ListedVm, MemberState, Membership,
+    Action as MemberAction, Event as MemberEvent, ListedVm, MemberRecord, MemberState, Membership,
 };
 use corianderworks_decision::versions::{Source, VersionAction, VersionEvent, Versions, readers};
 use corianderworks_lists::settings::{Balance, Prefer, Settings};
@@ -34,6 +34,7 @@
 use crate::permits::PermitEvent;
 use crate::platform::{PlatformClient, Vm, VmKind, VmState};
 use crate::proxy::Entry;
+use crate::status_types::MemberStatus;
 use crate::store::{self, FetchError, Origin, Stored};
 use crate::upstream::Upstreams;
 use crate::view::{Backend, BackendState, MemberView, ServicePlace, Table, View};
@@ -195,6 +196,29 @@
     }
 }
 
+/// Asks the control loop for the members as it sees them.
+pub struct MembersAsk;
+
+impl<C> Message<MembersAsk> for Control<C>
+where
+    C: Clock,
+{
+    type Reply = Vec<MemberStatus>;
+
+    async fn handle(
+        &mut self,
+        _: MembersAsk,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let me = (self.membership.me(), self.membership.my_state());
+        let others = self.membership.members().map(|m| (&m.record, m.state));
+        others
+            .chain([me])
+            .map(|(record, state)| member_status(record, state))
+            .collect()
+    }
+}
+
 impl<C> Control<C>
 where
     C: Clock,
@@ -470,7 +494,8 @@
                 backend.state = BackendState::Leaving;
             }
         }
-        let view = View::new(self.table.clone(), members, &listed);
+        let mut view = View::new(self.table.clone(), members, &listed);
+        view.leaving = Arc::new(self.leaving_views());
         let candidates = self.membership.candidates();
         let is_reader = readers(&candidates).contains(&self.me().daemon);
         self.parts
@@ -583,20 +608,19 @@
                     let member = self.membership.member(candidate.daemon)?;
                     (&member.record, member.state == MemberState::Alive)
                 };
-                Some(MemberView {
-                    daemon: candidate.daemon,
-                    run: record.run,
-                    name: record.name.as_str().into(),
-                    region: record.region.as_str().into(),
-                    domain: record.domain.as_str().into(),
-                    http_address: record.http_address,
-                    peer_address: record.peer_address,
-                    steady,
-                })
+                Some(member_view(record, steady))
             })
             .collect()
     }
 
+    fn leaving_views(&self) -> Vec<MemberView> {
+        let members = self.membership.members();
+        members
+            .filter(|member| member.state == MemberState::Leaving)
+            .map(|member| member_view(&member.record, false))
+            .collect()
+    }
+
     /// Stops new work on an upstream before the VM list shows that it leaves.
     fn note_draining(&mut self, now: Duration, service: ServiceKey, upstream: UpstreamKey) -> bool {
         let new = self.draining.insert(upstream, now).is_none();
@@ -633,6 +657,11 @@
             HomeAction::Ejected { upstream, evidence } => {
                 let name = self.upstream_name(service, upstream);
                 tracing::warn!("health: {name} is ejected: {evidence:?}");
+                let view = self.parts.shared.view.load();
+                let mut services = view.table.services.keys();
+                if let Some(name) = services.find(|name| ServiceKey::of(name) == service) {
+                    self.parts.entry.parts.metrics.ejection(name);
+                }
             }
             HomeAction::Restored { upstream } => {
                 let name = self.upstream_name(service, upstream);
@@ -782,3 +811,34 @@
         self.membership.me().run
     }
 }
+
+fn member_status(record: &MemberRecord, state: MemberState) -> MemberStatus {
+    let state = match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspected",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    };
+    MemberStatus {
+        name: record.name.clone(),
+        region: record.region.clone(),
+        domain: record.domain.clone(),
+        peer_address: record.peer_address,
+        state: state.to_owned(),
+        version: record.config_version,
+    }
+}
+
+fn member_view(record: &MemberRecord, steady: bool) -> MemberView {
+    MemberView {
+        daemon: record.daemon(),
+        run: record.run,
+        name: record.name.as_str().into(),
+        region: record.region.as_str().into(),
+        domain: record.domain.as_str().into(),
+        http_address: record.http_address,
+        peer_address: record.peer_address,
+        steady,
+    }
+}
--- a/crates/corianderworks/src/daemon.rs
+++ b/crates/corianderworks/src/daemon.rs
@@ -13,7 +13,8 @@
 use corianderworks_decision::membership::{MemberRecord, Membership};
 use corianderworks_lists::manifest::{MANIFEST_PATH, Manifest};
 use corianderworks_lists::settings::{Limits, Settings};
-use http::{HeaderValue, Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -33,11 +34,16 @@
 use crate::home::Homes;
 use crate::kernel::{Kernel, KernelError};
 use crate::keys::{EXPIRE_PERIOD, Keys};
+use crate::metrics_api::MetricsApi;
 use crate::peer::{PeerError, Peers};
 use crate::peer_service::PeerService;
 use crate::permits::PermitKeeper;
 use crate::platform::PlatformClient;
 use crate::proxy::{Entry, EntryParts};
+use crate::reasons::Reason;
+use crate::refusal::Refusal;
+use crate::status_api::StatusApi;
+use crate::telemetry::{Metrics, TelemetryError};
 use crate::upstream::Upstreams;
 
 /// Time between two ticks of the control loop. Stalls are noticed at a tick.
@@ -69,6 +75,9 @@
     /// A service could not be registered.
     #[error(transparent)]
     Kernel(#[from] KernelError),
+    /// Metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] TelemetryError),
     /// The name can't be part of a header field.
     #[error("the daemon's name can't be part of a header field")]
     Name,
@@ -130,6 +139,7 @@
             limits: settings.limits.clone(),
             balance: settings.balance,
             via: via.clone(),
+            metrics: Metrics::new()?,
         }));
         let (home_events, mut home_receiver) = mpsc::unbounded_channel();
         let (permit_events, mut permit_receiver) = mpsc::unbounded_channel();
@@ -167,7 +177,7 @@
             control: control.clone(),
         };
         tasks.push(tokio::spawn(Arc::new(peer_service).run(opened)));
-        tasks.push(tokio::spawn(tick(control.clone())));
+        tasks.push(tokio::spawn(tick(control.clone(), grants.clone())));
         tasks.push(tokio::spawn(read_vms(
             platform.clone(),
             shared.clone(),
@@ -214,6 +224,14 @@
         let api = Arc::new(Api {
             entry: entry.clone(),
             shared: shared.clone(),
+            metrics: MetricsApi::new(entry.clone(), platform.clone()),
+            status: StatusApi {
+                settings: settings.clone(),
+                entry: entry.clone(),
+                shared: shared.clone(),
+                control: control.clone(),
+                platform: platform.clone(),
+            },
             keep_s: settings.keep_s,
         });
         let stop_accepting = Arc::new(Notify::new());
@@ -363,11 +381,12 @@
     }
 }
 
-async fn tick(control: ActorRef<Control<SystemClock>>) {
+async fn tick(control: ActorRef<Control<SystemClock>>, grants: Arc<Grants<SystemClock>>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
+        grants.note_members();
         if control.tell(ControlEvent::Tick).await.is_err() {
             return;
         }
@@ -542,8 +561,21 @@
     caller: SocketAddr,
 ) -> Response<Body> {
     let caller_hash = DaemonKey::of(&caller.to_string()).0;
-    match api.answer(&request, caller_hash).await {
+    let is_http1 = request.version() <= Version::HTTP_11;
+    let phase = api.shared.phase();
+    let mut response = match api.answer(&request, caller_hash).await {
         Some(response) => response,
+        // Callers that still know this daemon use another address of their address response.
+        None if matches!(phase, Phase::Draining | Phase::Stopped) => {
+            Refusal::not_run(Reason::Draining).response()
+        }
         None => entry.serve(request, caller).await,
+    };
+    // A caller could otherwise send a request on a kept connection at the moment at which the
+    // stopping daemon closes it. HTTP/2 has GOAWAY for this.
+    if is_http1 && matches!(phase, Phase::Leaving | Phase::Draining | Phase::Stopped) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
     }
+    response
 }
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -26,10 +26,13 @@
 use crate::home::Homes;
 use crate::job::{Job, JobHead, Reply};
 use crate::keys::Keys;
+use crate::metrics_api::{self, Outside};
 use crate::peer::Peers;
-use crate::refusal::{Ran, Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 use crate::relay::{self, RelayError};
 use crate::target;
+use crate::telemetry::Metrics;
 use crate::view::{RouteMatch, View};
 
 /// Homes that one request may be sent to. More would multiply the load of an overloaded service.
@@ -73,6 +76,8 @@
     pub balance: Balance,
     /// Value of `via`.
     pub via: HeaderValue,
+    /// Metrics.
+    pub metrics: Metrics,
 }
 
 /// Entry of callers' requests.
@@ -105,8 +110,8 @@
 enum Next {
     /// The job is settled.
     Reply(Reply),
-    /// The job goes to the next home.
-    Again(Job),
+    /// The job goes to the next home; the refusal is for the case that there is none.
+    Again(Job, Refusal),
 }
 
 impl<C> Entry<C>
@@ -141,18 +146,35 @@
         caller: SocketAddr,
     ) -> Response<Body> {
         let guard = self.start_request();
-        match self.admit(request, caller).await {
+        let start = self.parts.clock.now();
+        let metrics = self.parts.metrics.clone();
+        let admitted = self.admit(request, caller).await;
+        let reply = match admitted {
             Ok((mut job, place)) => {
                 let (body, upload) = Tracked::new(job.body);
                 job.body = body.boxed_unsync();
                 let reply = self.run_keyed(job).await;
                 let reply = reply.map_err(|refusal| blame_caller(refusal, &upload));
-                let response = reply.unwrap_or_else(Refusal::response);
-                let hold = move |_| drop((guard, place));
-                response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
+                reply.map(|reply| (reply, place))
             }
-            Err(refusal) => refusal.response(),
+            Err(refusal) => Err(refusal),
+        };
+        let (response, place) = match reply {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                metrics_api::count_refusal(&metrics, &refusal);
+                return refusal.response();
+            }
+        };
+        if let Some(outside) = response.extensions().get::<Outside>() {
+            let total = self.parts.clock.now().saturating_sub(start);
+            metrics.added_latency(total.saturating_sub(outside.time), outside.relayed);
         }
+        let hold = move |end| {
+            metrics_api::count_end(&metrics, end);
+            drop((guard, place));
+        };
+        response.map(|inner| body::Watched::new(inner, hold).boxed_unsync())
     }
 
     /// Checks a request against the lists and turns it into a job.
@@ -175,12 +197,7 @@
         if body.size_hint().lower() > self.parts.limits.body_bytes {
             return Err(Refusal::not_run(Reason::TooLarge));
         }
-        let place = self
-            .parts
-            .grants
-            .admit(customer, plan)
-            .await
-            .map_err(Refusal::not_run)?;
+        let place = self.parts.grants.admit(customer, plan).await?;
         let pause = Duration::from_millis(u64::from(self.parts.limits.body_pause_ms));
         let body = Guarded::new(body::incoming(body), self.parts.limits.body_bytes, pause);
         Ok((
@@ -200,30 +217,28 @@
     ) -> Result<JobHead, Reason> {
         if parts.version < Version::HTTP_11 {
             // Its responses end with the connection, so a cut-off one would look complete.
-            return Err(Reason::BadRequest("HTTP/1.0"));
+            return Err(Reason::BadRequest);
         }
-        headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest("framing"))?;
-        headers::set_host(&mut parts.headers, &parts.uri)
-            .map_err(|_| Reason::BadRequest("host"))?;
+        headers::check_framing(&parts.headers).map_err(|_| Reason::BadRequest)?;
+        headers::set_host(&mut parts.headers, &parts.uri).map_err(|_| Reason::BadRequest)?;
         let customer = headers::single(&parts.headers, &headers::CUSTOMER, "cw-customer")
-            .map_err(|_| Reason::BadRequest("cw-customer"))?
-            .ok_or(Reason::UnknownCustomer)?;
+            .map_err(|_| Reason::NoCustomer)?
+            .ok_or(Reason::NoCustomer)?;
         let plan = view.table.plan(customer).ok_or(Reason::UnknownCustomer)?;
         if matches!(parts.method, Method::CONNECT | Method::TRACE) {
             return Err(Reason::Method);
         }
-        let path =
-            target::decode(parts.uri.path()).map_err(|_| Reason::BadRequest("ambiguous path"))?;
+        let path = target::decode(parts.uri.path()).map_err(|_| Reason::BadRequest)?;
         let route = match view.table.route(&parts.method, &path) {
             RouteMatch::Found(route) => route,
             RouteMatch::OtherMethod => return Err(Reason::Method),
             RouteMatch::NoRoute => return Err(Reason::NoRoute),
         };
         if !plan.allows(route) {
-            return Err(Reason::NotAllowed);
+            return Err(Reason::PlanForbids);
         }
         let key = headers::single(&parts.headers, &headers::IDEMPOTENCY_KEY, "idempotency-key")
-            .map_err(|_| Reason::BadRequest("idempotency-key"))?
+            .map_err(|_| Reason::KeyInvalid)?
             .map(str::to_owned);
         let customer: Arc<str> = customer.into();
         let timeout = self.timeout(parts, route.timeout)?;
@@ -261,11 +276,9 @@
 
     fn timeout(&self, parts: &http::request::Parts, route: Duration) -> Result<Duration, Reason> {
         let text = headers::single(&parts.headers, &headers::DEADLINE_MS, "cw-deadline-ms")
-            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+            .map_err(|_| Reason::BadDeadline)?;
         let Some(text) = text else { return Ok(route) };
-        let left_ms: u64 = text
-            .parse()
-            .map_err(|_| Reason::BadRequest("cw-deadline-ms"))?;
+        let left_ms: u64 = text.parse().map_err(|_| Reason::BadDeadline)?;
         Ok(route.min(Duration::from_millis(left_ms)))
     }
 
@@ -277,8 +290,8 @@
         match self.key_route(&key) {
             KeyRoute::Here => self.run_issued(job).await,
             KeyRoute::Relay(owner) => self.relay_to_owner(owner, job).await,
-            KeyRoute::OwnerGone(_) => Err(Refusal::unknown(Reason::KeyOwnerGone)),
-            KeyRoute::Malformed => Err(Refusal::not_run(Reason::BadRequest("idempotency-key"))),
+            KeyRoute::OwnerGone(_) => Err(Refusal::unknown(Reason::KeyLost)),
+            KeyRoute::Malformed => Err(Refusal::not_run(Reason::KeyInvalid)),
             KeyRoute::NeedsClaim => match self.parts.keys.claim(&key, &job.head).await {
                 Ok(guard) => guard.settle(self.run(job).await),
                 Err(reply) => *reply,
@@ -288,7 +301,7 @@
 
     fn key_route(&self, key: &str) -> KeyRoute {
         let view = self.parts.view.load();
-        let live = |daemon| view.member(daemon).map(|member| member.run.incarnation);
+        let live = |daemon| view.issuer(daemon).map(|member| member.run.incarnation);
         claims::route(key, self.parts.me, live)
     }
 
@@ -300,7 +313,7 @@
             .as_deref()
             .and_then(|key| key.parse::<IssuedKey>().ok());
         let Some(key) = key.filter(|key| key.run == self.parts.me) else {
-            return Err(Refusal::unknown(Reason::KeyOwnerGone));
+            return Err(Refusal::unknown(Reason::KeyLost));
         };
         match self.parts.keys.begin(&key, &job.head).await {
             Ok(guard) => guard.settle(self.run(job).await),
@@ -314,10 +327,10 @@
             .parts
             .view
             .load()
-            .member(owner.daemon)
+            .issuer(owner.daemon)
             .map(|m| m.peer_address);
         let Some(address) = member else {
-            return Err(Refusal::unknown(Reason::KeyOwnerGone));
+            return Err(Refusal::unknown(Reason::KeyLost));
         };
         let (purpose, me) = (RelayPurpose::KeyOwner, self.parts.me);
         let now = self.parts.clock.now();
@@ -336,7 +349,7 @@
             // An earlier arrival of the same key may have run, so this is not "not run".
             Err(RelayError::NotSent(_, error) | RelayError::Sent(error)) => {
                 tracing::warn!("relay: the issuer of a key can't be reached: {error}");
-                Err(Refusal::unknown(Reason::Unavailable))
+                Err(Refusal::unknown(Reason::RelayLost))
             }
         }
     }
@@ -358,7 +371,7 @@
                     .parts
                     .view
                     .load()
-                    .member(owner.daemon)
+                    .issuer(owner.daemon)
                     .map(|m| m.peer_address);
                 let Some(address) = address else {
                     return message::KeyState::Unknown;
@@ -379,9 +392,10 @@
         let service = job.head.service_key();
         let homes = self.rank_homes(service);
         if homes.is_empty() {
-            return Err(Refusal::not_run(Reason::Unavailable));
+            return Err(Refusal::not_run(Reason::NoUpstream));
         }
-        let mut last = Refusal::not_run(Reason::Unavailable);
+        let mut last = Refusal::not_run(Reason::NoUpstream);
+        let mut may_have_run = false;
         for home in homes.into_iter().take(HOMES_PER_REQUEST) {
             let replay = Replay::of(&job);
             let next = if home == self.parts.me.daemon {
@@ -390,15 +404,20 @@
                 self.relay_to(home, job, replay).await
             };
             match next {
-                Next::Reply(Err(refusal)) => return Err(refusal),
+                Next::Reply(Err(refusal)) if may_have_run => return Err(refusal.after_attempt()),
                 Next::Reply(reply) => return reply,
-                Next::Again(again) => {
-                    last = Refusal::not_run(Reason::Overload);
+                Next::Again(again, refusal) => {
+                    may_have_run |= refusal.outcome == RefusalOutcome::Unknown;
+                    last = refusal;
                     job = again;
                 }
             }
         }
-        Err(last)
+        Err(if may_have_run {
+            last.after_attempt()
+        } else {
+            last
+        })
     }
 
     async fn relay_to(self: &Arc<Self>, home: DaemonKey, job: Job, replay: Replay) -> Next {
@@ -413,7 +432,7 @@
             .member(home)
             .map(|member| member.peer_address);
         let Some(address) = address else {
-            return Next::Again(job);
+            return Next::Again(job, Refusal::not_run(Reason::NoUpstream));
         };
         self.expect_load(home, service);
         let sent = relay::relay(
@@ -429,19 +448,30 @@
         match sent {
             Ok(relayed) => {
                 self.note_load(home, service, relayed.free_slots, relayed.queued);
-                settle(relayed.reply, replay)
+                self.parts.metrics.relay();
+                let outside = Outside {
+                    time: self.parts.clock.now().saturating_sub(now),
+                    relayed: true,
+                };
+                let reply = relayed.reply.map(|mut response| {
+                    response.extensions_mut().insert(outside);
+                    response
+                });
+                settle(reply, replay)
             }
             Err(RelayError::NotSent(job, error)) => {
                 tracing::warn!("relay: {error}; trying another home");
                 self.note_load(home, service, 0, u16::MAX);
-                Next::Again(*job)
+                Next::Again(*job, Refusal::not_run(Reason::NoUpstream))
             }
             Err(RelayError::Sent(error)) => {
                 tracing::warn!("relay: {error}; the request may have run");
                 self.note_load(home, service, 0, u16::MAX);
                 match replay {
-                    Replay::Idempotent(job) => Next::Again(job),
-                    _ => Next::Reply(Err(Refusal::unknown(Reason::Unavailable))),
+                    Replay::Idempotent(job) => {
+                        Next::Again(job, Refusal::unknown(Reason::RelayLost))
+                    }
+                    _ => Next::Reply(Err(Refusal::unknown(Reason::RelayLost))),
                 }
             }
         }
@@ -542,25 +572,39 @@
 /// Gives the caller's own fault as the reason; a home sees only that the body broke off.
 fn blame_caller(refusal: Refusal, upload: &Progress) -> Refusal {
     match upload.error() {
-        Some(error) if refusal.ran == Ran::Unknown => Refusal::unknown((&error).into()),
+        Some(error) if refusal.outcome == RefusalOutcome::Unknown => {
+            Refusal::unknown((&error).into())
+        }
         _ => refusal,
     }
 }
 
 fn settle(reply: Reply, replay: Replay) -> Next {
-    let elsewhere = matches!(
-        &reply,
-        Err(Refusal {
-            ran: Ran::No,
-            reason: Reason::Overload | Reason::Unavailable
-        })
-    );
+    let refusal = match reply {
+        Err(refusal) if is_of_one_home(&refusal) => refusal,
+        reply => return Next::Reply(reply),
+    };
     match replay {
-        Replay::Idempotent(job) | Replay::IfNotRun(job) if elsewhere => Next::Again(job),
-        _ => Next::Reply(reply),
+        Replay::Idempotent(job) | Replay::IfNotRun(job) => Next::Again(job, refusal),
+        Replay::Never => Next::Reply(Err(refusal)),
     }
 }
 
+/// Whether another home may run what this one did not.
+fn is_of_one_home(refusal: &Refusal) -> bool {
+    let not_run = refusal.outcome == RefusalOutcome::NotRun;
+    not_run
+        && matches!(
+            refusal.reason,
+            Reason::QueueFull
+                | Reason::Shed
+                | Reason::BackendShed
+                | Reason::NoUpstream
+                | Reason::NotReady
+                | Reason::Draining
+        )
+}
+
 fn key_state(state: KeyState) -> message::KeyState {
     match state {
         KeyState::NotRun => message::KeyState::NotRun,
--- a/crates/corianderworks/src/relay.rs
+++ b/crates/corianderworks/src/relay.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use corianderworks_decision::ids::DaemonRun;
 use corianderworks_wire::codec::BODY_FRAME_MAX_BYTES;
-use corianderworks_wire::message::{Ask, RelayAnswer, RelayFrame, RelayHead, RelayPurpose};
+use corianderworks_wire::message::{Ask, RelayAnswer, RelayFrame, RelayPurpose};
 use http::header::CONTENT_LENGTH;
 use http::{Method, Response, StatusCode};
 use http_body::{Body as HttpBody, Frame};
@@ -24,7 +24,8 @@
 use crate::headers;
 use crate::job::{Job, JobHead, Reply};
 use crate::peer::{Channel, PeerError, Peers, received_count, recv_message, send_message};
-use crate::refusal::{Ran, Reason, Refusal};
+use crate::reasons::{Reason, RefusalOutcome};
+use crate::refusal::Refusal;
 
 /// Code with which a stream is reset when its other end is no longer wanted.
 const CANCELLED: VarInt = VarInt::from_u32(1);
@@ -165,19 +166,22 @@
 /// Reads a refusal by the home; [`headers::prepare_response`] removes these fields from the
 /// responses of backend servers, so they can only come from a daemon.
 fn read_refusal(fields: &http::HeaderMap) -> Option<Refusal> {
-    let ran = match fields.get(headers::OUTCOME)?.as_bytes() {
-        b"not-run" => Ran::No,
+    let outcome = match fields.get(headers::OUTCOME)?.as_bytes() {
+        b"not-run" => RefusalOutcome::NotRun,
         // The answer to a repeated request is no refusal; it has the status of the first one.
         outcome if outcome == headers::DONE.as_bytes() => return None,
-        _ => Ran::Unknown,
+        _ => RefusalOutcome::Unknown,
     };
     let code = fields
         .get(headers::REASON)
         .and_then(|value| value.to_str().ok());
     let reason = code
-        .and_then(Reason::from_code)
-        .unwrap_or(Reason::Unavailable);
-    Some(Refusal { ran, reason })
+        .and_then(Reason::from_name)
+        .unwrap_or(Reason::RelayLost);
+    Some(Refusal {
+        outcome,
+        ..Refusal::not_run(reason)
+    })
 }
 
 /// Relayed body that knows its end: hyper drops a body at its announced length without
