Try a fresh connection when an idle one was closed as it was taken

Cause: the only upstream counted as tried and the caller got no-upstream, when the backend server closed an idle connection just as a request took it.

--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -362,12 +362,33 @@
             return Step::Reply(Err(Refusal::not_run(Reason::Deadline)));
         }
         let (body, upload) = Tracked::new(body);
-        let request = build_request(&head, body.boxed_unsync(), left);
+        let mut request = build_request(&head, body.boxed_unsync(), left);
         let attempt = guard.attempt.clone();
         let _ = attempt.upload.set(upload.clone());
-        let sent = tokio::select! {
-            sent = tokio::time::timeout(left, checkout.send(request)) => sent.ok(),
-            () = attempt.abandon.notified(), if head.idempotent => None,
+        let sent = loop {
+            let sent = tokio::select! {
+                sent = tokio::time::timeout(left, checkout.send(request)) => sent.ok(),
+                () = attempt.abandon.notified(), if head.idempotent => None,
+            };
+            // The backend server may close an idle connection just as it is taken; that says
+            // nothing about the server, so a new connection is tried on the same slot.
+            match sent {
+                Some(Err(Failed {
+                    unsent: Some(again),
+                    error,
+                })) if checkout.reused => {
+                    match self.upstreams.connect(guard.upstream(), address).await {
+                        Ok(fresh) => (checkout, request) = (fresh, again),
+                        Err(_) => {
+                            break Some(Err(Failed {
+                                unsent: Some(again),
+                                error,
+                            }));
+                        }
+                    }
+                }
+                sent => break sent,
+            }
         };
         let latency = guard.elapsed();
         match sent {
@@ -392,8 +413,7 @@
                 unsent: Some(request),
                 ..
             })) => {
-                // An idle connection that the backend server closed is no fault of its own.
-                guard.finish(Outcome::Cancelled { latency });
+                guard.finish(Outcome::ConnectFailed);
                 unsent(Job {
                     head,
                     body: request.into_body(),
--- a/crates/corianderworks/src/upstream.rs
+++ b/crates/corianderworks/src/upstream.rs
@@ -96,6 +96,8 @@
     link: Link,
     /// When the connection was set up.
     pub born: Duration,
+    /// Whether it carried a request before.
+    pub reused: bool,
 }
 
 impl<C> Upstreams<C>
@@ -117,14 +119,23 @@
         address: SocketAddr,
     ) -> Result<Checkout<C>, UpstreamError> {
         while let Some(idle) = self.pop(upstream) {
-            let mut checkout = self.wrap(upstream, idle.link, idle.born);
+            let mut checkout = self.wrap(upstream, idle.link, idle.born, true);
             if checkout.link.sender.ready().await.is_ok() {
                 return Ok(checkout);
             }
         }
+        self.connect(upstream, address).await
+    }
+
+    /// Sets up a new connection.
+    pub async fn connect(
+        self: &Arc<Self>,
+        upstream: UpstreamKey,
+        address: SocketAddr,
+    ) -> Result<Checkout<C>, UpstreamError> {
         let born = self.clock.now();
         let link = connect(address).await?;
-        Ok(self.wrap(upstream, link, born))
+        Ok(self.wrap(upstream, link, born, false))
     }
 
     /// Retires the connections of an upstream that were set up before a time.
@@ -164,12 +175,19 @@
         }
     }
 
-    fn wrap(self: &Arc<Self>, upstream: UpstreamKey, link: Link, born: Duration) -> Checkout<C> {
+    fn wrap(
+        self: &Arc<Self>,
+        upstream: UpstreamKey,
+        link: Link,
+        born: Duration,
+        reused: bool,
+    ) -> Checkout<C> {
         Checkout {
             upstreams: self.clone(),
             upstream,
             link,
             born,
+            reused,
         }
     }
 }
