Send evidence when it is due, and let permits come into use before the demo's faults

Cause: the demo ejected after 1.9 to 2.3 s. The control loop asked for evidence every 250 ms, so verdicts needed 1.5 times the evidence; and a permit may be used only 5 s after it was acquired, which the demo's first fault did not wait for. Change: evidence is asked for every 50 ms; the demo waits 6 s before its load.

--- a/crates/corianderworks/src/capacity.rs
+++ b/crates/corianderworks/src/capacity.rs
@@ -1,6 +1,6 @@
 //! Measurement of the slopes behind the capacity page.
 //!
-//! Each measurement is a function in [`MEASUREMENTS`] that takes the number of daemons and
+//! Each measurement is a function in `MEASUREMENTS` that takes the number of daemons and
 //! returns samples. Samples of the same metric form a series with a fitted line.
 #![allow(
     dead_code,
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -41,8 +41,9 @@
 
 /// Name of the control loop in the kernel.
 pub const SERVICE: &str = "control";
-/// Time between two evidence reports to the other homes of a service.
-const EVIDENCE_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two looks for evidence to send; the dispatcher says when a report is due. Until
+/// the other owner reports, a verdict needs 1.5 times the evidence.
+const EVIDENCE_PERIOD: Duration = Duration::from_millis(50);
 /// Time between two asks for the VM list while a starting daemon has none.
 const VMS_ASK_PERIOD: Duration = Duration::from_millis(250);
 /// A backend server's own word that it drains holds for this long, since each of its responses
--- a/crates/corianderworks/src/demo.rs
+++ b/crates/corianderworks/src/demo.rs
@@ -42,6 +42,8 @@
 const NO_WORK: Duration = Duration::from_secs(1);
 /// Longest watch of a failing backend server.
 const DETECTION_WATCH: Duration = Duration::from_secs(5);
+/// Time after which the homes of a new fleet can use their permits.
+const PERMIT_WAIT: Duration = Duration::from_secs(6);
 /// Time between two looks at the state of all daemons.
 const SAMPLE: Duration = Duration::from_millis(20);
 
@@ -189,8 +191,8 @@
         {
             tokio::time::sleep(SAMPLE).await;
         }
-        // Permits are claimed when the homes are known.
-        tokio::time::sleep(Duration::from_secs(1)).await;
+        // A permit may be used 5 s after it was acquired, and homes acquire theirs within 1 s.
+        tokio::time::sleep(PERMIT_WAIT).await;
     };
     let limit = Duration::from_secs(20);
     tokio::time::timeout(limit, ready)
