Compare both ways of balancing with control traffic and platform calls

Cause: the choice of owners over lone daemons had no measurement on real processes. Change: the compare command prints control bytes and platform calls as well.

--- a/crates/corianderworks/src/compare.rs
+++ b/crates/corianderworks/src/compare.rs
@@ -1,6 +1,6 @@
 //! Side-by-side measurement of homes with owners and of daemons that balance alone.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfy_table::Table;
 use corianderworks_lists::settings::Balance;
@@ -45,13 +45,20 @@
     pub connections_peak: u64,
     /// Requests that failing backend servers got after they began to fail.
     pub sent_to_failing: u64,
-    /// Violations of P2 to P4.
+    /// Control datagrams sent by one daemon, in bytes of payload per second.
+    pub control_bytes_per_s: f64,
+    /// Calls to the platform per second over the whole fleet.
+    pub platform_calls_per_s: f64,
+    /// Violations of P2.
     pub violations: u64,
 }
 
 /// Runs the same load on both ways and prints the figures.
 pub async fn run(json: bool) -> Result<bool, DemoError> {
-    let figures = vec![measure(Balance::Owners, "owners").await?];
+    let figures = vec![
+        measure(Balance::Owners, "owners").await?,
+        measure(Balance::Alone, "alone (baseline)").await?,
+    ];
     if json {
         println!("{}", serde_json::to_string(&figures).unwrap_or_default());
     } else {
@@ -82,6 +89,8 @@
         progress_ms: 0,
         ..load_settings(&fleet)
     };
+    let before = control_counts(&fleet);
+    let start = Instant::now();
     let load = corianderworks_load::run(settings, &NotReconciled);
     let fail = async {
         tokio::time::sleep(FAIL_AT).await;
@@ -98,6 +107,8 @@
     };
     let (load, ()) = tokio::join!(load, fail);
     let load = load?;
+    let seconds = start.elapsed().as_secs_f64();
+    let after = control_counts(&fleet);
     let mut figures = Figures {
         balance: name,
         requests: load.requests,
@@ -109,6 +120,8 @@
         shed: 0,
         connections_peak: 0,
         sent_to_failing: 0,
+        control_bytes_per_s: (after.0 - before.0) as f64 / seconds / DAEMONS as f64,
+        platform_calls_per_s: (after.1 - before.1) as f64 / seconds,
         violations: load
             .violations
             .iter()
@@ -127,6 +140,17 @@
     Ok(figures)
 }
 
+/// Bytes of control datagrams and calls to the platform over all daemons.
+fn control_counts(fleet: &Fleet) -> (u64, u64) {
+    let daemons = fleet.daemons.iter().map(|(_, daemon)| daemon);
+    daemons.fold((0, 0), |(bytes, calls), daemon| {
+        (
+            bytes + daemon.datagram_bytes(),
+            calls + daemon.platform_calls(),
+        )
+    })
+}
+
 fn table(figures: &[Figures]) -> Table {
     let mut table = Table::new();
     table.set_header([
@@ -140,6 +164,8 @@
         "shed by backends",
         "connections at one backend",
         "sent to failing backends",
+        "control B/s per daemon",
+        "platform calls/s",
     ]);
     for row in figures {
         table.add_row([
@@ -153,6 +179,8 @@
             row.shed.to_string(),
             row.connections_peak.to_string(),
             row.sent_to_failing.to_string(),
+            format!("{:.0}", row.control_bytes_per_s),
+            format!("{:.0}", row.platform_calls_per_s),
         ]);
     }
     table
