--- a/crates/corianderworks/src/demo.rs
+++ b/crates/corianderworks/src/demo.rs
@@ -38,6 +38,8 @@
 /// Share of the requests that must be answered while the faults are played. One backend server
 /// of 35 fails and one leaves, and the retries of callers cover both.
 const ANSWERED_PERCENT: u64 = 99;
+/// Name of a try whose connection broke in the report of the load.
+const BROKEN_OFF: &str = "broken off";
 /// Time without a request after which a backend server counts as out of work.
 const NO_WORK: Duration = Duration::from_secs(1);
 /// Longest watch of a failing backend server.
@@ -448,7 +450,7 @@
     let count = samples.count.load(Ordering::Relaxed);
     let reverts = samples.reverts.load(Ordering::Relaxed);
     let late_versions = 2 - script.in_force.len() as u64;
-    let cut = load.failures.get("broken").copied().unwrap_or(0);
+    let cut = load.failures.get(BROKEN_OFF).copied().unwrap_or(0);
     let late = |time: Option<Duration>, bound| u64::from(time.is_none_or(|time| time > bound));
     let ms = |time: Option<Duration>| {
         time.map_or("not seen".to_owned(), |time| {
