Add the edge daemon and the platform adapter: the thin path of a request

Cause: the users' platform speaks its own protocol, and callers connect to the daemons that the directory names. Ruled out: hyper on the request path. It serves one request of a connection at a time and hides bytes after a response; both matter here. It stays for the store and small interfaces. Change: crate platform/ decodes settings, store objects and headers; the decision crate gets routes, backend servers, placing, budget, admission, attempts and shutdown; crate corianderworks_edge forwards requests.

--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -26,6 +26,9 @@
             required --settings file: PathBuf
         }
 
+        /// Run an edge daemon on the users' platform, with the settings that it provides.
+        cmd edge {}
+
         /// Check, read and change the two lists.
         cmd lists {
             /// Check the lists of a folder without contacting the platform.
--- a/crates/corianderworks/src/commands.rs
+++ b/crates/corianderworks/src/commands.rs
@@ -90,6 +90,7 @@
         CorianderworksCmd::Keys(keys) => match keys.subcommand {
             KeysCmd::New(new) => keys_commands::new(&new),
         },
+        CorianderworksCmd::Edge(_) => run_commands::edge().await,
         CorianderworksCmd::Daemon(flags) => run_commands::daemon(&flags).await,
         CorianderworksCmd::StandIn(stand_in) => match stand_in.subcommand {
             StandInCmd::Platform(flags) => run_commands::platform(&flags).await,
--- a/crates/corianderworks/src/run_commands.rs
+++ b/crates/corianderworks/src/run_commands.rs
@@ -15,6 +15,15 @@
 use crate::lists_commands::read_settings;
 use crate::telemetry::start_logs;
 
+/// Runs an edge daemon until it is stopped.
+pub async fn edge() -> Result<(), CommandError> {
+    use corianderworks_edge::daemon::{DaemonError, run};
+    run().await.map_err(|error| match error {
+        DaemonError::Settings(error) => CommandError::Usage(error.to_string()),
+        error => failed(error),
+    })
+}
+
 /// Runs a daemon. The first signal begins a graceful stop, the second one ends the process.
 pub async fn daemon(flags: &cli::Daemon) -> Result<(), CommandError> {
     let settings = read_settings(&flags.settings)?;
--- /dev/null
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -0,0 +1,251 @@
+//! Chooses the backend server of an attempt.
+//!
+//! Load answered: a few requests a second at each of many daemons, before servers with few
+//! slots, some of which fail or stall although their health check passes. A daemon alone
+//! sees too few requests to judge a server, so load and failures reported by the other
+//! daemons count like its own.
+//!
+//! The choice takes the least expected cost: the service time that the server has shown,
+//! the time in its queue, and a penalty for recent failures that fades. A failing server is
+//! never excluded: when all others are full, its cost becomes the lowest.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use super::servers::{Server, ServerKey, Servers};
+
+/// Time in which a failure loses 63% of its weight. Gray failures last several seconds, and
+/// a shorter time returns requests to a server that still fails.
+const FAILURE_DECAY: Duration = Duration::from_millis(4_000);
+/// Part of the failure weight that remains after a success.
+const SUCCESS_FORGIVES: f64 = 0.5;
+/// Largest failure weight; bounds the time for which a recovered server is avoided to
+/// about 3 times the decay time.
+const FAILURE_WEIGHT_MAX: f64 = 6.0;
+/// Cost of a failure weight of 1, in service times of the service.
+const FAILURE_COST_SERVICE_TIMES: f64 = 4.0;
+/// Weight of a new sample in the mean service time.
+const LATENCY_GAIN: f64 = 0.2;
+/// Weight of a new sample in the mean service time of the service.
+const SERVICE_LATENCY_GAIN: f64 = 0.05;
+/// Samples of a server that count as much as the mean of its service.
+const LATENCY_PRIOR_SAMPLES: f64 = 4.0;
+/// Service time before the first sample of a service.
+const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
+/// Cost of a busy slot, in service times: servers slow down when nearly full.
+const BUSY_SLOT_COST: f64 = 0.4;
+/// Cost of a server in another failure domain, in service times.
+const OTHER_DOMAIN_COST: f64 = 0.05;
+/// Cost factor of a server that has just started.
+const COLD_FACTOR: f64 = 2.0;
+/// Range of the random part of the cost, in service times; spreads equal choices.
+const JITTER_SERVICE_TIMES: f64 = 0.1;
+
+/// How an attempt ended, as far as it says something about the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// Complete response that is no failure, after this time.
+    Success(Duration),
+    /// Failure response, broken or missing response.
+    Failure,
+    /// The server refused the request as full.
+    Shed,
+    /// The attempt takes far longer than usual and is still open.
+    Overdue,
+    /// No connection could be opened.
+    Unreachable,
+    /// Another server run answered at the address.
+    Misdirected,
+}
+
+#[derive(Debug, Clone, Default)]
+struct State {
+    own_in_flight: u32,
+    peer_in_flight: u32,
+    failure_weight: f64,
+    failure_at: Duration,
+    latency_s: f64,
+    samples: f64,
+}
+
+impl State {
+    fn failure_weight_at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failure_at);
+        self.failure_weight * (-age.as_secs_f64() / FAILURE_DECAY.as_secs_f64()).exp()
+    }
+}
+
+/// Load and evidence per server, and the choice that follows from them.
+#[derive(Debug, Default)]
+pub struct Placing {
+    states: SecondaryMap<ServerKey, State>,
+    service_latency_s: HashMap<std::sync::Arc<str>, f64>,
+}
+
+/// What is known of the chosen server, for the decision log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Chosen server.
+    pub key: ServerKey,
+    /// Expected time until the response.
+    pub expected: Duration,
+    /// Requests of all daemons in flight at the server.
+    pub in_flight: u32,
+    /// Failure weight, 0 without recent failures.
+    pub failure_weight: f64,
+}
+
+impl Placing {
+    /// Creates an empty state.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts an attempt of this daemon that starts.
+    pub fn started(&mut self, key: ServerKey) {
+        if let Some(state) = self.state(key) {
+            state.own_in_flight += 1;
+        }
+    }
+
+    /// Counts an attempt of this daemon that ended.
+    pub fn ended(&mut self, key: ServerKey) {
+        if let Some(state) = self.states.get_mut(key) {
+            state.own_in_flight = state.own_in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Sets the number of requests that the other daemons have in flight.
+    pub fn set_peer_in_flight(&mut self, key: ServerKey, in_flight: u32) {
+        if let Some(state) = self.state(key) {
+            state.peer_in_flight = in_flight;
+        }
+    }
+
+    /// Forgets a server.
+    pub fn forget(&mut self, key: ServerKey) {
+        self.states.remove(key);
+    }
+
+    /// Takes evidence of this daemon or another one.
+    pub fn observe(&mut self, server: (ServerKey, &Server), evidence: Evidence, now: Duration) {
+        let (key, server) = server;
+        let (service, slots) = (server.entry.service.clone(), server.entry.slots);
+        let Some(state) = self.state(key) else {
+            return;
+        };
+        let weight = state.failure_weight_at(now);
+        let added = match evidence {
+            Evidence::Success(latency) => {
+                state.failure_weight = weight * SUCCESS_FORGIVES;
+                state.failure_at = now;
+                let latency_s = latency.as_secs_f64();
+                state.latency_s +=
+                    (latency_s - state.latency_s) * LATENCY_GAIN.max(1.0 / (state.samples + 1.0));
+                state.samples += 1.0;
+                let mean = self.service_latency_s.entry(service).or_insert(latency_s);
+                *mean += (latency_s - *mean) * SERVICE_LATENCY_GAIN;
+                return;
+            }
+            Evidence::Failure => 1.0,
+            Evidence::Overdue => 0.7,
+            // A server that refuses although slots are free is failing.
+            Evidence::Shed if state.own_in_flight + state.peer_in_flight < slots => 1.0,
+            Evidence::Shed => 0.3,
+            Evidence::Unreachable => 2.0,
+            Evidence::Misdirected => FAILURE_WEIGHT_MAX,
+        };
+        state.failure_weight = (weight + added).min(FAILURE_WEIGHT_MAX);
+        state.failure_at = now;
+    }
+
+    /// Returns the mean service time of a service.
+    pub fn service_time(&self, service: &str) -> Duration {
+        let known = self.service_latency_s.get(service);
+        known.map_or(INITIAL_SERVICE_TIME, |s| Duration::from_secs_f64(*s))
+    }
+
+    /// Returns the number of requests that this daemon has in flight, per server.
+    pub fn own_in_flight(&self, key: ServerKey) -> u32 {
+        self.states.get(key).map_or(0, |s| s.own_in_flight)
+    }
+
+    /// Chooses the server with the least expected cost, except those in `tried`.
+    ///
+    /// `jitter` returns numbers in 0..1.
+    pub fn choose<F>(
+        &self,
+        servers: &Servers,
+        query: Query<'_>,
+        now: Duration,
+        mut jitter: F,
+    ) -> Option<Choice>
+    where
+        F: FnMut() -> f64,
+    {
+        let mean_s = self.service_time(query.service).as_secs_f64();
+        let candidates = servers
+            .of_service(query.service)
+            .filter(|(k, s)| s.accepts(now) && !query.tried.contains(k));
+        let costs = candidates.map(|(key, server)| {
+            let (cost_s, choice) = self.cost(key, server, query.domain, mean_s, now);
+            (cost_s + jitter() * JITTER_SERVICE_TIMES * mean_s, choice)
+        });
+        costs
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, choice)| choice)
+    }
+
+    fn cost(
+        &self,
+        key: ServerKey,
+        server: &Server,
+        domain: &str,
+        mean_s: f64,
+        now: Duration,
+    ) -> (f64, Choice) {
+        let fresh = State::default();
+        let state = self.states.get(key).unwrap_or(&fresh);
+        let in_flight = state.own_in_flight + state.peer_in_flight;
+        let slots = f64::from(server.entry.slots.max(1));
+        let mut service_s = (state.latency_s * state.samples.min(20.0)
+            + mean_s * LATENCY_PRIOR_SAMPLES)
+            / (state.samples.min(20.0) + LATENCY_PRIOR_SAMPLES);
+        if now < server.cold_until {
+            service_s *= COLD_FACTOR;
+        }
+        let queued = (f64::from(in_flight) + 1.0 - slots).max(0.0);
+        let wait_s = queued / slots * service_s;
+        let weight = state.failure_weight_at(now);
+        let mut cost_s = service_s + wait_s;
+        cost_s += BUSY_SLOT_COST * mean_s * f64::from(in_flight) / slots;
+        cost_s += weight * FAILURE_COST_SERVICE_TIMES * mean_s;
+        if &*server.entry.domain != domain {
+            cost_s += OTHER_DOMAIN_COST * mean_s;
+        }
+        let choice = Choice {
+            key,
+            expected: Duration::from_secs_f64(service_s + wait_s),
+            in_flight,
+            failure_weight: weight,
+        };
+        (cost_s, choice)
+    }
+
+    fn state(&mut self, key: ServerKey) -> Option<&mut State> {
+        Some(self.states.entry(key)?.or_default())
+    }
+}
+
+/// What a choice is made for.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// Service of the request.
+    pub service: &'a str,
+    /// Failure domain of this daemon.
+    pub domain: &'a str,
+    /// Servers that this request was sent to before.
+    pub tried: &'a [ServerKey],
+}
--- a/crates/corianderworks_decision/src/lib.rs
+++ b/crates/corianderworks_decision/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatch_types;
 pub mod dispatcher;
 pub mod drain;
+pub mod edge;
 pub mod ejection;
 pub mod health;
 pub mod ids;
--- /dev/null
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -0,0 +1,133 @@
+//! Starts, runs and stops an edge daemon.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderworks_decision::clock::SystemClock;
+use corianderworks_decision::edge::shutdown::{Phase, phase};
+use corianderworks_platform::settings::{self, Settings, SettingsError};
+use corianderworks_platform::store::StoreClient;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, interval, sleep};
+
+use crate::metrics::{Metrics, MetricsError};
+use crate::state::{Edge, Life};
+use crate::{caller, feed, local_http, logs};
+
+/// Port of the metrics, as named in the deploy file.
+const METRICS_PORT: u16 = 9464;
+/// Pause between checks of what is due with time.
+const TICK: Duration = Duration::from_millis(100);
+/// Pause between checks of a stopping daemon.
+const STOP_TICK: Duration = Duration::from_millis(20);
+
+/// Why a daemon can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A socket can't be opened.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// Address of the socket.
+        address: SocketAddr,
+        /// Why it can't be opened.
+        error: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[error("cannot receive signals: {0}")]
+    Signals(std::io::Error),
+    /// Logs can't be started.
+    #[error("cannot start logs: {0}")]
+    Logs(Box<dyn std::error::Error + Send + Sync>),
+    /// Metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// Runs an edge daemon until it is stopped.
+///
+/// # Errors
+///
+/// Fails if the settings are unusable or a socket can't be opened.
+pub async fn run() -> Result<(), DaemonError> {
+    let (_lines, dropped) = logs::start().map_err(DaemonError::Logs)?;
+    let path = settings::path()?;
+    let settings = settings::read(&path)?;
+    let mut signals = Signals::new().map_err(DaemonError::Signals)?;
+    let clock = Arc::new(SystemClock::new());
+    let edge = Arc::new(Edge::new(settings.clone(), clock, Metrics::new()?));
+    tracing::info!(vm = settings.vm, domain = settings.domain, callers = %settings.callers, store = %settings.store, "daemon: starting");
+    let callers = listen(settings.callers).await?;
+    let ready = listen(settings.ready).await?;
+    let directory = listen(settings.directory).await?;
+    let metrics = listen((Ipv4Addr::UNSPECIFIED, METRICS_PORT).into()).await?;
+    let store = Arc::new(StoreClient::new(settings.store));
+    tokio::spawn(feed::run(edge.clone(), store));
+    tokio::spawn(caller::accept(edge.clone(), callers));
+    for listener in [ready, directory, metrics] {
+        tokio::spawn(local_http::serve(edge.clone(), listener));
+    }
+    let mut ticks = interval(TICK);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => edge.tick(),
+            _ = signals.reload.recv() => reload(&path, &settings),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+        }
+    }
+    stop(&edge).await;
+    tracing::info!(dropped_lines = dropped.count(), "daemon: stopped");
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| DaemonError::Listen { address, error })
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Checks settings that have changed. Addresses of a running daemon stay as they are.
+fn reload(path: &std::path::Path, current: &Settings) {
+    match settings::read(path) {
+        Ok(next) if next == *current => tracing::info!("daemon: settings unchanged"),
+        Ok(_) => tracing::info!("daemon: settings changed; in force after the next start"),
+        Err(error) => tracing::warn!(%error, "daemon: settings unusable; the old ones stay"),
+    }
+}
+
+/// Finishes requests in flight, as far as the grace period allows.
+async fn stop(edge: &Edge) {
+    let started = Instant::now();
+    tracing::info!(in_flight = edge.in_flight(), "daemon: stopping");
+    loop {
+        let phase = phase(started.elapsed(), edge.settings.grace, edge.in_flight());
+        edge.set_life(Life::Stopping(phase));
+        if phase == Phase::Exit {
+            break;
+        }
+        sleep(STOP_TICK).await;
+    }
+    // Responses that are complete are still written.
+    sleep(STOP_TICK * 5).await;
+}
--- /dev/null
+++ b/crates/corianderworks_edge/src/local_http.rs
@@ -0,0 +1,110 @@
+//! Small HTTP interfaces: readiness, addresses, metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderworks_platform::addresses;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::state::Edge;
+
+/// Time that callers keep an address response. A daemon that stops is still asked for so
+/// long, and each renewal is a request; callers may keep a response three times as long.
+const ADDRESS_KEEP: Duration = Duration::from_secs(2);
+/// Time for a request head; callers of these interfaces give up sooner.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves readiness, addresses and metrics on one listener.
+pub async fn serve(edge: Arc<Edge>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "local http: accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let edge = edge.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let response = answer(&edge, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "local http: connection failed");
+            }
+        });
+    }
+}
+
+fn answer(edge: &Edge, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        addresses::READY_PATH if edge.is_ready() => {
+            response(StatusCode::OK, "text/plain", Bytes::new())
+        }
+        addresses::READY_PATH => {
+            response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new())
+        }
+        addresses::RESOLVE_PATH => resolve(edge, request.uri().query().unwrap_or_default()),
+        METRICS_PATH => match edge.metrics.text() {
+            Ok(text) => response(StatusCode::OK, "text/plain; version=0.0.4", text.into()),
+            Err(error) => {
+                tracing::error!(%error, "local http: metrics");
+                response(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "text/plain",
+                    Bytes::new(),
+                )
+            }
+        },
+        _ => response(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
+    }
+}
+
+fn resolve(edge: &Edge, query: &str) -> Response<Full<Bytes>> {
+    let request = addresses::decode_request(query);
+    let daemons: Vec<SocketAddr> = edge.addresses_for(&request.domain);
+    if daemons.is_empty() {
+        return response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new());
+    }
+    let keep = ADDRESS_KEEP.min(edge.settings.address_keep_max);
+    match addresses::encode_response(&daemons, keep) {
+        Ok(body) => response(StatusCode::OK, "application/json", body),
+        Err(error) => {
+            tracing::error!(%error, "local http: addresses");
+            response(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "text/plain",
+                Bytes::new(),
+            )
+        }
+    }
+}
+
+fn response(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    let value = http::HeaderValue::from_static(content_type);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Metrics of an edge daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::reason::Reason;
+
+/// Limits of latency buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// Failure to set up metrics.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot set up metrics: {0}")]
+pub struct MetricsError(String);
+
+/// Metrics; clones record into the same registry.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Instruments stop recording when their provider is dropped.
+    _provider: Arc<SdkMeterProvider>,
+    requests: Counter<u64>,
+    request_time: Histogram<f64>,
+    attempts: Counter<u64>,
+    attempt_time: Histogram<f64>,
+    store_calls: Counter<u64>,
+    gauges: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .build()
+            .map_err(|e| MetricsError(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("corianderworks");
+        let bounds = LATENCY_BOUNDS_S.to_vec();
+        Ok(Self {
+            requests: meter.u64_counter("corianderworks_edge_requests").build(),
+            request_time: meter
+                .f64_histogram("corianderworks_edge_request_time")
+                .with_unit("s")
+                .with_boundaries(bounds.clone())
+                .build(),
+            attempts: meter.u64_counter("corianderworks_edge_attempts").build(),
+            attempt_time: meter
+                .f64_histogram("corianderworks_edge_attempt_time")
+                .with_unit("s")
+                .with_boundaries(bounds)
+                .build(),
+            store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
+            gauges: meter.u64_gauge("corianderworks_edge_state").build(),
+            registry,
+            _provider: Arc::new(provider),
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, reason: Reason, took: Duration) {
+        self.requests
+            .add(1, &[KeyValue::new("reason", reason.name())]);
+        self.request_time.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempt(&self, end: &'static str, took: Duration) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+        self.attempt_time.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &'static str, result: &'static str) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Sets a value of the daemon's state.
+    pub fn set(&self, name: &'static str, value: u64) {
+        self.gauges.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn text(&self) -> Result<String, MetricsError> {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .map_err(|e| MetricsError(e.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/corianderworks_edge/src/state.rs
@@ -0,0 +1,311 @@
+//! State that the parts of an edge daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use corianderworks_decision::clock::Clock;
+use corianderworks_decision::edge::budget::Budget;
+use corianderworks_decision::edge::placing::{Choice, Evidence, Placing, Query};
+use corianderworks_decision::edge::routes::{Configuration, accept_newer};
+use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
+use corianderworks_decision::edge::shutdown::Phase;
+use corianderworks_platform::settings::Settings;
+use parking_lot::{Mutex, MutexGuard};
+use rand::Rng;
+use tokio::sync::watch;
+
+use crate::logs::LineBudget;
+use crate::metrics::Metrics;
+use crate::upstream::{Pool, Target};
+
+/// Part of a VM's memory that request bodies may take.
+const BODY_MEMORY_PART: usize = 4;
+/// Memory of a small entry VM, in bytes.
+const VM_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+
+/// What a daemon believes; changed under one lock.
+#[derive(Debug)]
+pub struct Beliefs {
+    /// Configuration in force.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Backend servers.
+    pub servers: Servers,
+    /// Load and evidence.
+    pub placing: Placing,
+    /// Budget of repeated attempts.
+    pub budget: Budget,
+}
+
+/// Life of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// Serves.
+    Serving,
+    /// Stops gracefully.
+    Stopping(Phase),
+}
+
+/// An edge daemon.
+pub struct Edge {
+    /// Settings at the start.
+    pub settings: Settings,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Kept connections to backend servers.
+    pub pool: Arc<Pool>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Bound on the log lines of served requests.
+    pub served_lines: LineBudget,
+    /// Bound on the log lines of other requests.
+    pub failed_lines: LineBudget,
+    life: watch::Sender<Life>,
+    beliefs: Mutex<Beliefs>,
+    in_flight: AtomicUsize,
+    body_bytes: AtomicUsize,
+}
+
+impl Edge {
+    /// Creates the state of a daemon.
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
+        let budget = Budget::new(settings.budget, 1);
+        let beliefs = Beliefs {
+            configuration: None,
+            servers: Servers::new(),
+            placing: Placing::new(),
+            budget,
+        };
+        Self {
+            settings,
+            clock,
+            pool: Arc::new(Pool::new()),
+            metrics,
+            served_lines: LineBudget::default(),
+            failed_lines: LineBudget::default(),
+            life: watch::Sender::new(Life::Serving),
+            beliefs: Mutex::new(beliefs),
+            in_flight: AtomicUsize::new(0),
+            body_bytes: AtomicUsize::new(0),
+        }
+    }
+
+    /// Locks what the daemon believes.
+    pub fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
+        self.beliefs.lock()
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.beliefs().configuration.clone()
+    }
+
+    /// Returns the phase of the daemon's life.
+    pub fn life(&self) -> Life {
+        *self.life.borrow()
+    }
+
+    /// Returns a receiver of changes of the daemon's life.
+    pub fn life_changes(&self) -> watch::Receiver<Life> {
+        self.life.subscribe()
+    }
+
+    /// Sets the phase of the daemon's life.
+    pub fn set_life(&self, life: Life) {
+        self.life
+            .send_if_modified(|current| std::mem::replace(current, life) != life);
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let beliefs = self.beliefs();
+        self.life() == Life::Serving
+            && beliefs.configuration.is_some()
+            && !beliefs.servers.is_empty()
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub fn offer_configuration(&self, configuration: Arc<Configuration>, source: &'static str) {
+        let mut beliefs = self.beliefs();
+        let before = beliefs.configuration.as_ref().map(|c| c.version.0);
+        let (version, routes) = (configuration.version.0, configuration.route_count());
+        if accept_newer(&mut beliefs.configuration, configuration) {
+            tracing::info!(version, before, routes, source, "configuration: in force");
+        }
+    }
+
+    /// Applies a change of one backend server.
+    pub fn apply_entry(&self, entry: ServerEntry, source: &'static str) {
+        let now = self.clock.now();
+        let mut beliefs = self.beliefs();
+        let change = beliefs.servers.upsert(entry, now);
+        log_change(&mut beliefs, &change, source);
+    }
+
+    /// Applies that the entry of a backend server is gone.
+    pub fn apply_vanished(&self, id: &str, source: &'static str) {
+        let now = self.clock.now();
+        let mut beliefs = self.beliefs();
+        let change = beliefs.servers.vanish(id, now);
+        if change != Change::Unchanged {
+            tracing::info!(server = id, ?change, source, "servers: entry vanished");
+        }
+        log_change(&mut beliefs, &change, source);
+    }
+
+    /// Replaces all backend servers.
+    pub fn apply_servers(&self, entries: Vec<ServerEntry>, source: &'static str) {
+        let now = self.clock.now();
+        let mut beliefs = self.beliefs();
+        let changes = beliefs.servers.replace_all(entries, now);
+        for change in &changes {
+            log_change(&mut beliefs, change, source);
+        }
+    }
+
+    /// Does what is due with time: drops lapsed servers and idle connections.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let mut beliefs = self.beliefs();
+        for key in beliefs.servers.expire(now) {
+            tracing::info!(server = ?key, "servers: lapsed entry did not come back");
+            beliefs.placing.forget(key);
+        }
+        drop(beliefs);
+        self.pool.close_idle();
+    }
+
+    /// Chooses a backend server.
+    pub fn choose(&self, service: &str, tried: &[ServerKey]) -> Option<(Choice, Target)> {
+        let now = self.clock.now();
+        let beliefs = self.beliefs();
+        let query = Query {
+            service,
+            domain: &self.settings.domain,
+            tried,
+        };
+        let jitter = || rand::rng().random::<f64>();
+        let choice = beliefs
+            .placing
+            .choose(&beliefs.servers, query, now, jitter)?;
+        let entry = &beliefs.servers.get(choice.key)?.entry;
+        let target = Target {
+            id: entry.id.clone(),
+            address: entry.address,
+        };
+        Some((choice, target))
+    }
+
+    /// Takes evidence about a backend server.
+    pub fn observe(&self, key: ServerKey, evidence: Evidence) {
+        let now = self.clock.now();
+        let mut beliefs = self.beliefs();
+        let Beliefs {
+            servers, placing, ..
+        } = &mut *beliefs;
+        if let Some(server) = servers.get(key) {
+            placing.observe((key, server), evidence, now);
+        }
+    }
+
+    /// Returns the mean service time of a service.
+    pub fn service_time(&self, service: &str) -> Duration {
+        self.beliefs().placing.service_time(service)
+    }
+
+    /// Returns the addresses of daemons for a caller in `domain`.
+    pub fn addresses_for(&self, _domain: &str) -> Vec<std::net::SocketAddr> {
+        match self.is_ready() {
+            true => vec![self.settings.callers],
+            false => Vec::new(),
+        }
+    }
+
+    /// Counts an attempt at a backend server until the guard is dropped.
+    pub fn start_attempt(self: &Arc<Self>, key: ServerKey) -> AttemptGuard {
+        self.beliefs().placing.started(key);
+        AttemptGuard {
+            edge: self.clone(),
+            key,
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn start_request(self: &Arc<Self>) -> RequestGuard {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { edge: self.clone() }
+    }
+
+    /// Number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Reserves memory for a body; nothing if too much is reserved.
+    pub fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyGuard> {
+        let reserved = self.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let guard = BodyGuard {
+            edge: self.clone(),
+            bytes,
+        };
+        (reserved <= VM_MEMORY_BYTES / BODY_MEMORY_PART).then_some(guard)
+    }
+}
+
+fn log_change(beliefs: &mut Beliefs, change: &Change, source: &'static str) {
+    let (what, key) = match change {
+        Change::Unchanged => return,
+        Change::Added(key) => ("added", *key),
+        Change::Updated(key) => ("updated", *key),
+        Change::Draining(key) => ("draining", *key),
+        Change::Lapsed(key) => ("lapsed", *key),
+        Change::Removed(key) => {
+            beliefs.placing.forget(*key);
+            return;
+        }
+    };
+    if let Some(server) = beliefs.servers.get(key) {
+        let entry = &server.entry;
+        tracing::info!(
+            what, source, server = &*entry.id, service = &*entry.service, address = %entry.address,
+            domain = &*entry.domain, slots = entry.slots, "servers: changed"
+        );
+    }
+}
+
+/// An attempt in flight.
+pub struct AttemptGuard {
+    edge: Arc<Edge>,
+    key: ServerKey,
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.edge.beliefs().placing.ended(self.key);
+    }
+}
+
+/// A request in flight.
+pub struct RequestGuard {
+    edge: Arc<Edge>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.edge.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Memory reserved for a body.
+pub struct BodyGuard {
+    edge: Arc<Edge>,
+    bytes: usize,
+}
+
+impl Drop for BodyGuard {
+    fn drop(&mut self) {
+        self.edge
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
