Share load, evidence and store news between edge daemons over QUIC

Every daemon also watched the store. Ruled out: a full mesh (each report would cross domains 30 times), owners per server. Change: daemons of a domain are linked; two relays per domain pass reports on in batches; the first relay of a domain watches the store and tells the others, who compare digests.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod attempts;
 pub mod budget;
+pub mod fleet;
+pub mod peer_load;
 pub mod placing;
 pub mod routes;
 pub mod servers;
--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
 use super::servers::{Server, ServerKey, Servers};
@@ -44,7 +45,7 @@
 const JITTER_SERVICE_TIMES: f64 = 0.1;
 
 /// How an attempt ended, as far as it says something about the server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
     /// Complete response that is no failure, after this time.
     Success(Duration),
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use super::peer_load::ServerTag;
+
 /// Time after the store's return for which a lapsed entry counts as alive. The platform
 /// promises that entries of living servers are back about 2 s after the store.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
@@ -41,6 +43,13 @@
     pub cold: Duration,
 }
 
+impl ServerEntry {
+    /// Returns the tag that names this run in reports.
+    pub fn tag(&self) -> ServerTag {
+        ServerTag::of(&self.id, self.started_unix_ms)
+    }
+}
+
 /// A backend server and how this daemon regards it.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -81,6 +90,7 @@
 pub struct Servers {
     arena: SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
+    by_tag: HashMap<ServerTag, ServerKey>,
     by_service: HashMap<Arc<str>, Vec<ServerKey>>,
     /// Time at which the store answered again after an outage.
     store_back_at: Option<Duration>,
@@ -106,6 +116,11 @@
         self.arena.get(key)
     }
 
+    /// Returns the key of a tag.
+    pub fn key_of_tag(&self, tag: ServerTag) -> Option<ServerKey> {
+        self.by_tag.get(&tag).copied()
+    }
+
     /// Returns the key of an id.
     pub fn key_of(&self, id: &str) -> Option<ServerKey> {
         self.by_id.get(id).copied()
@@ -167,15 +182,20 @@
         }
     }
 
-    /// Applies that an entry is no longer in the store.
-    pub fn vanish(&mut self, id: &str, now: Duration) -> Change {
+    /// Time for which an entry that vanishes now may have lapsed although its server lives.
+    pub fn lapse_grace(&self, now: Duration) -> Duration {
+        let ends = self.store_back_at.map(|at| at + LAPSE_GRACE);
+        ends.map_or(Duration::ZERO, |ends| ends.saturating_sub(now))
+    }
+
+    /// Applies that an entry is no longer in the store. The server stays in use for `grace`.
+    pub fn vanish(&mut self, id: &str, grace: Duration, now: Duration) -> Change {
         let Some(&key) = self.by_id.get(id) else {
             return Change::Unchanged;
         };
-        let grace_ends = self.store_back_at.map(|at| at + LAPSE_GRACE);
-        match (grace_ends, self.arena.get_mut(key)) {
-            (Some(ends), Some(server)) if now < ends && !server.entry.draining => {
-                server.gone_at = Some(ends);
+        match self.arena.get_mut(key) {
+            Some(server) if !grace.is_zero() && !server.entry.draining => {
+                server.gone_at.get_or_insert(now + grace);
                 Change::Lapsed(key)
             }
             _ => {
@@ -185,18 +205,25 @@
         }
     }
 
+    /// Digest of the entries as they stand in the store. Equal lists have equal digests.
+    pub fn digest(&self) -> u64 {
+        let listed = self.arena.values().filter(|s| s.gone_at.is_none());
+        listed.fold(0, |digest, server| digest ^ entry_digest(&server.entry))
+    }
+
     /// Replaces the list by a complete one.
     pub fn replace_all<I>(&mut self, entries: I, now: Duration) -> Vec<Change>
     where
         I: IntoIterator<Item = ServerEntry>,
     {
+        let grace = self.lapse_grace(now);
         let entries: Vec<_> = entries.into_iter().collect();
         let listed: std::collections::HashSet<Arc<str>> =
             entries.iter().map(|e| e.id.clone()).collect();
         let mut missing: Vec<_> = self.by_id.keys().cloned().collect();
         missing.retain(|id| !listed.contains(id));
         let mut changes: Vec<_> = entries.into_iter().map(|e| self.upsert(e, now)).collect();
-        changes.extend(missing.iter().map(|id| self.vanish(id, now)));
+        changes.extend(missing.iter().map(|id| self.vanish(id, grace, now)));
         changes
     }
 
@@ -217,12 +244,14 @@
 
     fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
         let (id, service) = (entry.id.clone(), entry.service.clone());
+        let tag = entry.tag();
         let key = self.arena.insert(Server {
             cold_until: now + entry.cold,
             entry,
             gone_at: None,
         });
         self.by_id.insert(id, key);
+        self.by_tag.insert(tag, key);
         self.by_service.entry(service).or_default().push(key);
         key
     }
@@ -232,8 +261,14 @@
             return;
         };
         self.by_id.remove(&server.entry.id);
+        self.by_tag.remove(&server.entry.tag());
         if let Some(keys) = self.by_service.get_mut(&server.entry.service) {
             keys.retain(|k| *k != key);
         }
     }
 }
+
+fn entry_digest(entry: &ServerEntry) -> u64 {
+    let text = format!("{} {} {}", entry.id, entry.address, entry.draining);
+    xxhash_rust::xxh3::xxh3_64_with_seed(text.as_bytes(), entry.started_unix_ms)
+}
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -14,7 +14,8 @@
 
 use crate::metrics::{Metrics, MetricsError};
 use crate::state::{Edge, Life};
-use crate::{caller, feed, local_http, logs};
+use crate::peers::{PeerError, Peers};
+use crate::{caller, feed, local_http, logs, news};
 
 /// Port of the metrics, as named in the deploy file.
 const METRICS_PORT: u16 = 9464;
@@ -43,6 +44,9 @@
     /// Logs can't be started.
     #[error("cannot start logs: {0}")]
     Logs(Box<dyn std::error::Error + Send + Sync>),
+    /// Other daemons can't be connected.
+    #[error(transparent)]
+    Peers(#[from] PeerError),
     /// Metrics can't be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -66,7 +70,11 @@
     let directory = listen(settings.directory).await?;
     let metrics = listen((Ipv4Addr::UNSPECIFIED, METRICS_PORT).into()).await?;
     let store = Arc::new(StoreClient::new(settings.store));
-    tokio::spawn(feed::run(edge.clone(), store));
+    let peer_address = SocketAddr::new(settings.address, settings.peer_port);
+    let (peers, incoming) = Peers::bind(peer_address)?;
+    tokio::spawn(news::register(edge.clone(), store.clone(), peers.clone()));
+    tokio::spawn(feed::run(edge.clone(), store, peers.clone()));
+    tokio::spawn(news::run(edge.clone(), peers, incoming));
     tokio::spawn(caller::accept(edge.clone(), callers));
     for listener in [ready, directory, metrics] {
         tokio::spawn(local_http::serve(edge.clone(), listener));
@@ -120,6 +128,9 @@
 async fn stop(edge: &Edge) {
     let started = Instant::now();
     tracing::info!(in_flight = edge.in_flight(), "daemon: stopping");
+    edge.set_life(Life::Stopping(Phase::Accepting));
+    // The others leave this daemon out of their address answers.
+    edge.news.notify_one();
     loop {
         let phase = phase(started.elapsed(), edge.settings.grace, edge.in_flight());
         edge.set_life(Life::Stopping(phase));
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod local_http;
 pub mod logs;
 pub mod metrics;
+pub mod news;
+pub mod peers;
 pub mod reason;
 pub mod reply;
 pub mod state;
--- /dev/null
+++ b/crates/corianderworks_edge/src/news.rs
@@ -0,0 +1,456 @@
+//! Exchanges load, evidence and membership with the other daemons.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, Standing};
+use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
+use corianderworks_platform::{configuration, daemons};
+use corianderworks_wire::codec;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+
+use crate::peers::{DATAGRAM_MAX_BYTES, Incoming, Message, Peers, StoreNews, store_messages};
+use crate::state::{Beliefs, Edge, Life, Outbox};
+
+/// Pause in which changes are gathered into one report for the own domain.
+const GATHER: Duration = Duration::from_millis(10);
+/// The same for reports that pass to other domains, where bytes cost.
+const GATHER_RELAYED: Duration = Duration::from_millis(40);
+/// Most reports in one datagram.
+const REPORTS_PER_DATAGRAM: usize = 12;
+/// Pause between attempts to set up a connection to a peer.
+const LINK_RETRY: Duration = Duration::from_millis(500);
+/// Time that the peer with the lower name has to set up the connection.
+const LINK_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Runs until the daemon ends.
+pub async fn run(
+    edge: Arc<Edge>,
+    peers: Arc<Peers>,
+    incoming: mpsc::UnboundedReceiver<Incoming>,
+) {
+    let now = Instant::now();
+    let mut news = News {
+        edge,
+        peers,
+        sequence: 0,
+        relayed: Vec::new(),
+        report_due: None,
+        relay_due: None,
+        heartbeat_due: now,
+        links_due: now,
+        dialed: HashMap::new(),
+        first_wanted: HashMap::new(),
+    };
+    news.run(incoming).await;
+}
+
+struct News {
+    edge: Arc<Edge>,
+    peers: Arc<Peers>,
+    sequence: u32,
+    /// Reports that wait to be passed to other domains.
+    relayed: Vec<Report>,
+    report_due: Option<Instant>,
+    relay_due: Option<Instant>,
+    heartbeat_due: Instant,
+    links_due: Instant,
+    dialed: HashMap<SocketAddr, Instant>,
+    first_wanted: HashMap<SocketAddr, Instant>,
+}
+
+impl News {
+    async fn run(&mut self, mut incoming: mpsc::UnboundedReceiver<Incoming>) {
+        let edge = self.edge.clone();
+        loop {
+            let due = [self.report_due, self.relay_due].into_iter().flatten();
+            let due = due.min().unwrap_or(self.heartbeat_due);
+            let due = due.min(self.heartbeat_due).min(self.links_due);
+            tokio::select! {
+                arrived = incoming.recv() => match arrived {
+                    Some(arrived) => self.arrived(arrived),
+                    None => return,
+                },
+                () = edge.news.notified(), if self.report_due.is_none() => {
+                    self.report_due = Some(Instant::now() + GATHER);
+                }
+                () = sleep_until(due) => self.due(),
+            }
+        }
+    }
+
+    fn due(&mut self) {
+        let now = Instant::now();
+        if now >= self.heartbeat_due {
+            self.heartbeat_due = now + HEARTBEAT;
+            self.report(true);
+            self.forget_silent();
+        } else if self.report_due.is_some_and(|due| now >= due) {
+            self.report(false);
+        }
+        if now >= self.links_due {
+            self.links_due = now + LINK_RETRY;
+            self.set_up_links();
+        }
+        if self.relay_due.is_some_and(|due| now >= due) {
+            self.pass_on();
+        }
+    }
+
+    /// Sends a report to the own domain, and to other domains if this is a relay.
+    fn report(&mut self, complete: bool) {
+        self.report_due = None;
+        self.sequence += 1;
+        let report = self.edge.take_report(self.sequence, complete);
+        self.send_to_neighbours(std::slice::from_ref(&report));
+        self.relay(report);
+    }
+
+    fn send_to_neighbours(&self, reports: &[Report]) {
+        let now = self.edge.clock.now();
+        let addresses: Vec<_> = {
+            let beliefs = self.edge.beliefs();
+            beliefs.fleet.neighbours(now).map(|m| m.peer).collect()
+        };
+        self.send_reports(&addresses, reports);
+    }
+
+    fn send_reports(&self, to: &[SocketAddr], reports: &[Report]) {
+        for datagram in datagrams(reports) {
+            for address in to {
+                self.peers.send_datagram(*address, datagram.clone());
+            }
+        }
+    }
+
+    /// Keeps a report for other domains, if this is a relay.
+    fn relay(&mut self, report: Report) {
+        let now = self.edge.clock.now();
+        if self.edge.beliefs().fleet.relay_position(now).is_none() {
+            return;
+        }
+        self.relayed.push(report);
+        self.relay_due.get_or_insert(Instant::now() + GATHER_RELAYED);
+    }
+
+    fn pass_on(&mut self) {
+        self.relay_due = None;
+        let now = self.edge.clock.now();
+        let reports = std::mem::take(&mut self.relayed);
+        let targets = self.edge.beliefs().fleet.relay_targets(now);
+        let addresses: Vec<_> = targets.iter().map(|m| m.peer).collect();
+        self.send_reports(&addresses, &reports);
+    }
+
+    fn arrived(&mut self, arrived: Incoming) {
+        match arrived {
+            Incoming::Linked(to) => self.greet(to),
+            Incoming::Configuration(bytes) => self.configuration(&bytes),
+            Incoming::Message(from, message) => self.message(from, message),
+        }
+    }
+
+    fn greet(&self, to: SocketAddr) {
+        let beliefs = self.edge.beliefs();
+        let hello = Message::Hello {
+            own: beliefs.fleet.own().clone(),
+            others: beliefs.fleet.others().cloned().collect(),
+            has_configuration: beliefs.configuration.is_some(),
+        };
+        drop(beliefs);
+        self.peers.send(to, vec![hello]);
+    }
+
+    fn message(&mut self, from: SocketAddr, message: Message) {
+        match message {
+            Message::Hello {
+                own,
+                others,
+                has_configuration,
+            } => self.hello(from, own, others, has_configuration),
+            Message::Members(members) => self.learn(members, false),
+            Message::Reports(reports) => self.reports(from, reports),
+            Message::Store(news) => self.edge.apply_store_news(news),
+            // Parts are put together by the reader of their stream.
+            Message::ConfigurationPart { .. } => {}
+        }
+    }
+
+    fn hello(&mut self, from: SocketAddr, own: Member, others: Vec<Member>, has: bool) {
+        let same_domain = own.domain == self.edge.beliefs().fleet.own().domain;
+        self.learn(vec![own], true);
+        self.learn(others, false);
+        let now = self.edge.clock.now();
+        let is_relay = self.edge.beliefs().fleet.relay_position(now).is_some();
+        if !has && same_domain && is_relay {
+            let news = self.edge.whole_store_news();
+            self.peers.send(from, store_messages(&news));
+        }
+    }
+
+    /// Learns of members and tells the others of those that are new.
+    fn learn(&mut self, members: Vec<Member>, direct: bool) {
+        let now = self.edge.clock.now();
+        let mut beliefs = self.edge.beliefs();
+        let fresh: Vec<_> = members
+            .into_iter()
+            .filter(|m| beliefs.fleet.learn(m.clone(), direct, now))
+            .collect();
+        let links = beliefs.fleet.links(now);
+        drop(beliefs);
+        if fresh.is_empty() {
+            return;
+        }
+        for member in &fresh {
+            tracing::info!(vm = &*member.vm, domain = &*member.domain, started_unix_ms = member.started_unix_ms, "fleet: member learned");
+        }
+        self.links_due = Instant::now();
+        for link in links {
+            self.peers.send(link.peer, vec![Message::Members(fresh.clone())]);
+        }
+    }
+
+    fn reports(&mut self, from: SocketAddr, reports: Vec<Report>) {
+        let now = self.edge.clock.now();
+        let own_domain = self.edge.beliefs().fleet.own().domain.clone();
+        let mut from_outside = Vec::new();
+        for report in reports {
+            let Some(domain) = self.edge.apply_report(&report, now) else {
+                continue;
+            };
+            if domain == own_domain {
+                self.relay(report);
+            } else {
+                from_outside.push(report);
+            }
+        }
+        // Only a report that came straight from another domain is passed to the own one.
+        let sender_outside = {
+            let beliefs = self.edge.beliefs();
+            beliefs.fleet.others().any(|m| m.peer == from && m.domain != own_domain)
+        };
+        if sender_outside && !from_outside.is_empty() {
+            self.send_to_neighbours(&from_outside);
+        }
+    }
+
+    fn configuration(&self, bytes: &Bytes) {
+        match configuration::decode_spec(bytes) {
+            Ok(next) => self.edge.offer_configuration(Arc::new(next), Some(bytes.clone()), "peer"),
+            Err(error) => tracing::warn!(%error, "configuration: unreadable from a peer"),
+        }
+    }
+
+    fn forget_silent(&self) {
+        let now = self.edge.clock.now();
+        let mut beliefs = self.edge.beliefs();
+        for key in beliefs.fleet.silent(now) {
+            beliefs.forget_load(key);
+        }
+        let size = beliefs.fleet.size(now);
+        beliefs.budget.set_daemons(size);
+        let known = beliefs.fleet.others().count() + 1;
+        drop(beliefs);
+        self.edge.metrics.set("daemons_up", size as u64);
+        self.edge.metrics.set("daemons_known", known as u64);
+    }
+
+    fn set_up_links(&mut self) {
+        let clock = self.edge.clock.now();
+        let (own, wanted) = {
+            let beliefs = self.edge.beliefs();
+            (beliefs.fleet.own().clone(), beliefs.fleet.links(clock))
+        };
+        let now = Instant::now();
+        for member in wanted.iter().filter(|m| !self.peers.is_linked(m.peer)) {
+            let wanted_since = *self.first_wanted.entry(member.peer).or_insert(now);
+            let mine = own.vm < member.vm || now >= wanted_since + LINK_PATIENCE;
+            let dialed = self.dialed.get(&member.peer);
+            if mine && dialed.is_none_or(|at| now >= *at + LINK_RETRY) {
+                self.dialed.insert(member.peer, now);
+                self.peers.link(member.peer);
+            }
+        }
+        self.first_wanted.retain(|address, _| wanted.iter().any(|m| m.peer == *address));
+    }
+}
+
+/// Encodes reports into datagrams.
+fn datagrams(reports: &[Report]) -> Vec<Bytes> {
+    let mut out = Vec::new();
+    for part in reports.chunks(REPORTS_PER_DATAGRAM) {
+        match codec::encode(&Message::Reports(part.to_vec())) {
+            Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => out.push(bytes),
+            Ok(_) if part.len() > 1 => {
+                let (first, second) = part.split_at(part.len() / 2);
+                out.extend(datagrams(first));
+                out.extend(datagrams(second));
+            }
+            Ok(bytes) => tracing::debug!(bytes = bytes.len(), "news: report too long"),
+            Err(error) => tracing::error!(%error, "news: report not encoded"),
+        }
+    }
+    out
+}
+
+/// Registers this daemon in the store and learns of the others from there.
+pub async fn register(
+    edge: Arc<Edge>,
+    store: Arc<corianderworks_platform::store::StoreClient>,
+    peers: Arc<Peers>,
+) {
+    let own = edge.beliefs().fleet.own().clone();
+    for seed in &edge.settings.seeds {
+        if *seed != edge.settings.address {
+            peers.link(SocketAddr::new(*seed, edge.settings.peer_port));
+        }
+    }
+    let mut pause = REGISTER_RETRY_MIN;
+    loop {
+        match daemons::register(&store, &own).await {
+            Ok(()) => break,
+            Err(error) => tracing::warn!(%error, "fleet: not registered yet"),
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(REGISTER_RETRY_MAX);
+    }
+    // Daemons that start together see each other only after all have registered.
+    tokio::time::sleep(REGISTER_SETTLE).await;
+    loop {
+        match daemons::list(&store).await {
+            Ok(members) => {
+                let now = edge.clock.now();
+                let mut beliefs = edge.beliefs();
+                for member in members {
+                    beliefs.fleet.learn(member, false, now);
+                }
+                return;
+            }
+            Err(error) => tracing::warn!(%error, "fleet: other daemons not listed yet"),
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(REGISTER_RETRY_MAX);
+    }
+}
+
+/// First and longest pause after a failed registration.
+const REGISTER_RETRY_MIN: Duration = Duration::from_millis(300);
+const REGISTER_RETRY_MAX: Duration = Duration::from_millis(3_000);
+/// Pause between registering and listing; VMs start within 0.3 s of each other.
+const REGISTER_SETTLE: Duration = Duration::from_millis(600);
+
+impl Edge {
+    /// Builds a report of what changed, or of everything.
+    pub fn take_report(&self, sequence: u32, complete: bool) -> Report {
+        let standing = match self.life() {
+            Life::Stopping(_) => Standing::Leaving,
+            Life::Serving if self.is_ready() => Standing::Ready,
+            Life::Serving => Standing::NotReady,
+        };
+        let mut beliefs = self.beliefs();
+        let Outbox {
+            evidence,
+            changed,
+            store,
+        } = std::mem::take(&mut beliefs.outbox);
+        let tags: Vec<ServerTag> = match complete {
+            true => beliefs.servers.entries().map(|e| e.tag()).collect(),
+            false => changed,
+        };
+        let load = |tag: ServerTag| {
+            let key = beliefs.servers.key_of_tag(tag);
+            let load = key.map_or(0, |key| beliefs.placing.own_in_flight(key));
+            (tag, u16::try_from(load).unwrap_or(u16::MAX))
+        };
+        let mut in_flight: Vec<_> = tags.into_iter().map(load).collect();
+        if complete {
+            in_flight.retain(|(_, load)| *load > 0);
+        }
+        Report {
+            origin: beliefs.fleet.own().key(),
+            sequence,
+            standing,
+            complete,
+            in_flight,
+            evidence,
+            store,
+        }
+    }
+
+    /// Applies a report. Returns the domain of its origin if the report is new.
+    pub fn apply_report(&self, report: &Report, now: Duration) -> Option<Arc<str>> {
+        let mut beliefs = self.beliefs();
+        let domain = beliefs.fleet.member(report.origin)?.domain.clone();
+        if !beliefs.peer_load.is_new(report) {
+            return None;
+        }
+        beliefs.fleet.report(report.origin, report.standing, now);
+        let changed = beliefs.peer_load.apply(report);
+        beliefs.update_totals(&changed);
+        for (tag, evidence) in &report.evidence {
+            beliefs.observe_tag(*tag, *evidence, now);
+        }
+        if let Some(view) = report.store {
+            beliefs.hear_store_view(view, now);
+        }
+        Some(domain)
+    }
+
+    /// Applies news of the store from the daemon that watches it.
+    pub fn apply_store_news(&self, news: StoreNews) {
+        for entry in news.entries {
+            self.apply_entry(entry, "peer");
+        }
+        for (id, grace_ms) in news.vanished {
+            self.apply_vanished(&id, Duration::from_millis(grace_ms), "peer");
+        }
+    }
+
+    /// Returns everything that is known from the store.
+    pub fn whole_store_news(&self) -> StoreNews {
+        let beliefs = self.beliefs();
+        StoreNews {
+            entries: beliefs.servers.entries().cloned().collect(),
+            vanished: Vec::new(),
+            configuration: beliefs.configuration_bytes.clone(),
+        }
+    }
+}
+
+impl Beliefs {
+    fn update_totals(&mut self, changed: &[ServerTag]) {
+        for tag in changed {
+            if let Some(key) = self.servers.key_of_tag(*tag) {
+                self.placing.set_peer_in_flight(key, self.peer_load.total(*tag));
+            }
+        }
+    }
+
+    fn forget_load(&mut self, key: corianderworks_decision::edge::fleet::RunKey) {
+        let changed = self.peer_load.forget(key);
+        self.update_totals(&changed);
+    }
+
+    fn observe_tag(
+        &mut self,
+        tag: ServerTag,
+        evidence: corianderworks_decision::edge::placing::Evidence,
+        now: Duration,
+    ) {
+        let Some(key) = self.servers.key_of_tag(tag) else {
+            return;
+        };
+        if let Some(server) = self.servers.get(key) {
+            self.placing.observe((key, server), evidence, now);
+        }
+    }
+
+    fn hear_store_view(&mut self, view: StoreView, now: Duration) {
+        self.servers.set_store_reachable(true, now);
+        self.heard_store_view = Some((view, now));
+    }
+}
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -2,10 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use bytes::Bytes;
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::edge::budget::Budget;
+use corianderworks_decision::edge::fleet::{Fleet, Member};
+use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
 use corianderworks_decision::edge::placing::{Choice, Evidence, Placing, Query};
 use corianderworks_decision::edge::routes::{Configuration, accept_newer};
 use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
@@ -13,7 +16,7 @@
 use corianderworks_platform::settings::Settings;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::logs::LineBudget;
 use crate::metrics::Metrics;
@@ -35,6 +38,47 @@
     pub placing: Placing,
     /// Budget of repeated attempts.
     pub budget: Budget,
+    /// The other daemons.
+    pub fleet: Fleet,
+    /// Load at the other daemons.
+    pub peer_load: PeerLoad,
+    /// What the next report tells the others.
+    pub outbox: Outbox,
+    /// Latest view of the store that another daemon reported, and when it arrived.
+    pub heard_store_view: Option<(StoreView, Duration)>,
+    /// Configuration in force as it stands in the store.
+    pub configuration_bytes: Option<Bytes>,
+}
+
+impl Beliefs {
+    /// Returns what this daemon believes to be in the store.
+    pub fn store_view(&self) -> StoreView {
+        StoreView {
+            servers_digest: self.servers.digest(),
+            configuration: self.configuration.as_ref().map_or(0, |c| c.version.0),
+        }
+    }
+
+    /// Notes for the next report that the load at a server changed.
+    fn load_changed(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get(key) {
+            let tag = server.entry.tag();
+            if !self.outbox.changed.contains(&tag) {
+                self.outbox.changed.push(tag);
+            }
+        }
+    }
+}
+
+/// What the next report tells the others.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Evidence.
+    pub evidence: Vec<(ServerTag, Evidence)>,
+    /// Servers whose load changed.
+    pub changed: Vec<ServerTag>,
+    /// View of the store.
+    pub store: Option<StoreView>,
 }
 
 /// Life of a daemon.
@@ -60,6 +104,8 @@
     pub served_lines: LineBudget,
     /// Bound on the log lines of other requests.
     pub failed_lines: LineBudget,
+    /// Wakes the sender of reports.
+    pub news: Notify,
     life: watch::Sender<Life>,
     beliefs: Mutex<Beliefs>,
     in_flight: AtomicUsize,
@@ -75,6 +121,11 @@
             servers: Servers::new(),
             placing: Placing::new(),
             budget,
+            fleet: Fleet::new(own_member(&settings, clock.wall())),
+            peer_load: PeerLoad::default(),
+            outbox: Outbox::default(),
+            heard_store_view: None,
+            configuration_bytes: None,
         };
         Self {
             settings,
@@ -83,6 +134,7 @@
             metrics,
             served_lines: LineBudget::default(),
             failed_lines: LineBudget::default(),
+            news: Notify::new(),
             life: watch::Sender::new(Life::Serving),
             beliefs: Mutex::new(beliefs),
             in_flight: AtomicUsize::new(0),
@@ -125,11 +177,17 @@
     }
 
     /// Puts a configuration in force if it is newer.
-    pub fn offer_configuration(&self, configuration: Arc<Configuration>, source: &'static str) {
+    pub fn offer_configuration(
+        &self,
+        configuration: Arc<Configuration>,
+        bytes: Option<Bytes>,
+        source: &'static str,
+    ) {
         let mut beliefs = self.beliefs();
         let before = beliefs.configuration.as_ref().map(|c| c.version.0);
         let (version, routes) = (configuration.version.0, configuration.route_count());
         if accept_newer(&mut beliefs.configuration, configuration) {
+            beliefs.configuration_bytes = bytes;
             tracing::info!(version, before, routes, source, "configuration: in force");
         }
     }
@@ -143,10 +201,10 @@
     }
 
     /// Applies that the entry of a backend server is gone.
-    pub fn apply_vanished(&self, id: &str, source: &'static str) {
+    pub fn apply_vanished(&self, id: &str, grace: Duration, source: &'static str) {
         let now = self.clock.now();
         let mut beliefs = self.beliefs();
-        let change = beliefs.servers.vanish(id, now);
+        let change = beliefs.servers.vanish(id, grace, now);
         if change != Change::Unchanged {
             tracing::info!(server = id, ?change, source, "servers: entry vanished");
         }
@@ -205,7 +263,11 @@
         } = &mut *beliefs;
         if let Some(server) = servers.get(key) {
             placing.observe((key, server), evidence, now);
+            let tag = server.entry.tag();
+            beliefs.outbox.evidence.push((tag, evidence));
         }
+        drop(beliefs);
+        self.news.notify_one();
     }
 
     /// Returns the mean service time of a service.
@@ -214,16 +276,18 @@
     }
 
     /// Returns the addresses of daemons for a caller in `domain`.
-    pub fn addresses_for(&self, _domain: &str) -> Vec<std::net::SocketAddr> {
-        match self.is_ready() {
-            true => vec![self.settings.callers],
-            false => Vec::new(),
-        }
+    pub fn addresses_for(&self, domain: &str) -> Vec<std::net::SocketAddr> {
+        let (ready, now) = (self.is_ready(), self.clock.now());
+        self.beliefs().fleet.addresses_for(domain, ready, now)
     }
 
     /// Counts an attempt at a backend server until the guard is dropped.
     pub fn start_attempt(self: &Arc<Self>, key: ServerKey) -> AttemptGuard {
-        self.beliefs().placing.started(key);
+        let mut beliefs = self.beliefs();
+        beliefs.placing.started(key);
+        beliefs.load_changed(key);
+        drop(beliefs);
+        self.news.notify_one();
         AttemptGuard {
             edge: self.clone(),
             key,
@@ -281,7 +345,11 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        self.edge.beliefs().placing.ended(self.key);
+        let mut beliefs = self.edge.beliefs();
+        beliefs.placing.ended(self.key);
+        beliefs.load_changed(self.key);
+        drop(beliefs);
+        self.edge.news.notify_one();
     }
 }
 
@@ -309,3 +377,14 @@
             .fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
+
+fn own_member(settings: &Settings, wall: SystemTime) -> Member {
+    let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Member {
+        vm: settings.vm.as_str().into(),
+        started_unix_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        domain: settings.domain.as_str().into(),
+        peer: std::net::SocketAddr::new(settings.address, settings.peer_port),
+        callers: settings.callers,
+    }
+}
