Place by the probability that a server fails; prefer the own failure domain

Cause: the failure weight sent requests to servers of which nothing was known; each failing server cost a fee payment at every daemon that met it first. Most bytes between domains were requests, not reports. Ruled out: control traffic as the cause of the bytes (0.008 GB, of which reports are few). Change: a two-state belief per server with a base rate; servers that have just answered are preferred; a server in another domain costs 0.8 service times more.

--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -145,7 +145,10 @@
 
     /// Returns the member with a key.
     pub fn member(&self, key: RunKey) -> Option<&Member> {
-        self.by_key.get(&key).and_then(|vm| self.known.get(vm)).map(|k| &k.member)
+        self.by_key
+            .get(&key)
+            .and_then(|vm| self.known.get(vm))
+            .map(|k| &k.member)
     }
 
     /// Returns the members except this daemon, whether they are up or not.
@@ -155,7 +158,9 @@
 
     /// Whether a member was heard lately.
     pub fn is_up(&self, member: &Member, now: Duration) -> bool {
-        self.known.get(&member.vm).is_some_and(|k| k.member == *member && self.heard_lately(k, now))
+        self.known
+            .get(&member.vm)
+            .is_some_and(|k| k.member == *member && self.heard_lately(k, now))
     }
 
     fn heard_lately(&self, known: &Known, now: Duration) -> bool {
@@ -167,7 +172,9 @@
     }
 
     fn up(&self, now: Duration) -> impl Iterator<Item = &Known> {
-        self.known.values().filter(move |k| self.heard_lately(k, now))
+        self.known
+            .values()
+            .filter(move |k| self.heard_lately(k, now))
     }
 
     /// Number of daemons that are up, this one included.
@@ -186,7 +193,10 @@
 
     /// Returns the relays of a domain in order.
     pub fn relays(&self, domain: &str, now: Duration) -> Vec<&Member> {
-        let up = self.up(now).filter(|k| k.standing != Standing::Leaving).map(|k| &k.member);
+        let up = self
+            .up(now)
+            .filter(|k| k.standing != Standing::Leaving)
+            .map(|k| &k.member);
         let own = std::iter::once(&self.own);
         let mut members: Vec<_> = up.chain(own).filter(|m| &*m.domain == domain).collect();
         members.sort_by_key(|m| m.seniority());
@@ -196,7 +206,9 @@
 
     /// Position of this daemon among the relays of its domain.
     pub fn relay_position(&self, now: Duration) -> Option<usize> {
-        self.relays(&self.own.domain, now).iter().position(|m| m.vm == self.own.vm)
+        self.relays(&self.own.domain, now)
+            .iter()
+            .position(|m| m.vm == self.own.vm)
     }
 
     /// Returns the relays of the other domains that this daemon passes news to.
@@ -208,21 +220,29 @@
         let others = domains.iter().filter(|d| ***d != self.own.domain);
         let target = |domain: &&Arc<str>| {
             let relays = self.relays(domain, now);
-            relays.get(position).or(relays.first()).map(|m| (*m).clone())
+            relays
+                .get(position)
+                .or(relays.first())
+                .map(|m| (*m).clone())
         };
         others.filter_map(target).collect()
     }
 
     /// Returns the members that this daemon should be linked with.
     pub fn links(&self, now: Duration) -> Vec<Member> {
-        let same = self.others().filter(|m| m.domain == self.own.domain).cloned();
+        let same = self
+            .others()
+            .filter(|m| m.domain == self.own.domain)
+            .cloned();
         same.chain(self.relay_targets(now)).collect()
     }
 
     /// Returns the members of the own domain that are up.
     pub fn neighbours(&self, now: Duration) -> impl Iterator<Item = &Member> {
         let domain = &self.own.domain;
-        self.up(now).map(|k| &k.member).filter(move |m| m.domain == *domain)
+        self.up(now)
+            .map(|k| &k.member)
+            .filter(move |m| m.domain == *domain)
     }
 
     /// Whether this daemon watches the store for its domain.
@@ -241,7 +261,12 @@
     pub fn addresses_for(&self, domain: &str, own_ready: bool, now: Duration) -> Vec<SocketAddr> {
         let ready = |k: &&Known| k.standing == Standing::Ready;
         let own = own_ready.then_some(&self.own);
-        let members: Vec<_> = self.up(now).filter(ready).map(|k| &k.member).chain(own).collect();
+        let members: Vec<_> = self
+            .up(now)
+            .filter(ready)
+            .map(|k| &k.member)
+            .chain(own)
+            .collect();
         let local: Vec<_> = members.iter().filter(|m| &*m.domain == domain).collect();
         let mut addresses: Vec<_> = match local.len() >= DOMAIN_DAEMONS_MIN {
             true => local.iter().map(|m| m.callers).collect(),
@@ -254,7 +279,10 @@
 
     /// Returns members that became silent since the last call, which are still listed.
     pub fn silent(&self, now: Duration) -> Vec<RunKey> {
-        let silent = self.known.values().filter(|k| k.reported && !self.heard_lately(k, now));
+        let silent = self
+            .known
+            .values()
+            .filter(|k| k.reported && !self.heard_lately(k, now));
         silent.map(|k| k.member.key()).collect()
     }
 }
--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -5,9 +5,12 @@
 //! sees too few requests to judge a server, so load and failures reported by the other
 //! daemons count like its own.
 //!
-//! The choice takes the least expected cost: the service time that the server has shown,
-//! the time in its queue, and a penalty for recent failures that fades. A failing server is
-//! never excluded: when all others are full, its cost becomes the lowest.
+//! Each server is in one of two states, sound or failing, that it keeps for seconds. The
+//! daemon holds the probability that it is failing: evidence changes it, and without
+//! evidence it returns to a base rate. The choice takes the least expected cost: the
+//! service time that the server has shown, the time in its queue, and the cost of a failure
+//! times its probability. So servers that have just answered are preferred to those of
+//! which nothing is known, and a failing server is used only when all others are full.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,18 +18,26 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
+use super::routes::Repeatability;
 use super::servers::{Server, ServerKey, Servers};
 
-/// Time in which a failure loses 63% of its weight. Gray failures last several seconds, and
-/// a shorter time returns requests to a server that still fails.
-const FAILURE_DECAY: Duration = Duration::from_millis(4_000);
-/// Part of the failure weight that remains after a success.
-const SUCCESS_FORGIVES: f64 = 0.5;
-/// Largest failure weight; bounds the time for which a recovered server is avoided to
-/// about 3 times the decay time.
-const FAILURE_WEIGHT_MAX: f64 = 6.0;
-/// Cost of a failure weight of 1, in service times of the service.
-const FAILURE_COST_SERVICE_TIMES: f64 = 4.0;
+/// Probability that a server fails of which nothing has been heard for long.
+const FAILING_BASE_RATE: f64 = 0.1;
+/// Probability that a server fails that has just joined.
+const FAILING_WHEN_NEW: f64 = 0.02;
+/// Time in which evidence loses 63% of its weight; gray failures last several seconds.
+const EVIDENCE_DECAY: Duration = Duration::from_millis(5_000);
+/// Share of requests that a failing server fails, and that a sound one fails.
+const FAILING_FAILS: f64 = 0.7;
+const SOUND_FAILS: f64 = 0.02;
+/// Share of requests that take far longer than usual at a failing and at a sound server.
+const FAILING_OVERDUE: f64 = 0.3;
+const SOUND_OVERDUE: f64 = 0.02;
+/// Probability that a server fails that can't be connected, or is another one by now.
+const FAILING_WHEN_UNREACHABLE: f64 = 0.97;
+/// Cost of a failure in service times: the request is lost, or has to run again.
+const FAILURE_COST_NON_IDEMPOTENT: f64 = 10.0;
+const FAILURE_COST_IDEMPOTENT: f64 = 4.0;
 /// Weight of a new sample in the mean service time.
 const LATENCY_GAIN: f64 = 0.2;
 /// Weight of a new sample in the mean service time of the service.
@@ -38,7 +49,7 @@
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
 /// Cost of a server in another failure domain, in service times.
-const OTHER_DOMAIN_COST: f64 = 0.05;
+const OTHER_DOMAIN_COST: f64 = 0.8;
 /// Cost factor of a server that has just started.
 const COLD_FACTOR: f64 = 2.0;
 /// Range of the random part of the cost, in service times; spreads equal choices.
@@ -61,20 +72,47 @@
     Misdirected,
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct State {
     own_in_flight: u32,
     peer_in_flight: u32,
-    failure_weight: f64,
-    failure_at: Duration,
+    /// Probability that the server fails, at the time of the last evidence.
+    failing: f64,
+    evidence_at: Duration,
     latency_s: f64,
     samples: f64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            own_in_flight: 0,
+            peer_in_flight: 0,
+            failing: FAILING_WHEN_NEW,
+            evidence_at: Duration::ZERO,
+            latency_s: 0.0,
+            samples: 0.0,
+        }
+    }
+}
+
 impl State {
-    fn failure_weight_at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failure_at);
-        self.failure_weight * (-age.as_secs_f64() / FAILURE_DECAY.as_secs_f64()).exp()
+    /// Probability that the server fails now.
+    fn failing_at(&self, now: Duration) -> f64 {
+        if self.evidence_at.is_zero() {
+            return self.failing;
+        }
+        let age = now.saturating_sub(self.evidence_at);
+        let kept = (-age.as_secs_f64() / EVIDENCE_DECAY.as_secs_f64()).exp();
+        FAILING_BASE_RATE + (self.failing - FAILING_BASE_RATE) * kept
+    }
+
+    /// Takes an observation with these probabilities at a failing and at a sound server.
+    fn update(&mut self, if_failing: f64, if_sound: f64, now: Duration) {
+        let prior = self.failing_at(now);
+        let failing = prior * if_failing;
+        self.failing = failing / (failing + (1.0 - prior) * if_sound);
+        self.evidence_at = now;
     }
 }
 
@@ -94,8 +132,8 @@
     pub expected: Duration,
     /// Requests of all daemons in flight at the server.
     pub in_flight: u32,
-    /// Failure weight, 0 without recent failures.
-    pub failure_weight: f64,
+    /// Probability that the server fails.
+    pub failing: f64,
 }
 
 impl Placing {
@@ -137,29 +175,28 @@
         let Some(state) = self.state(key) else {
             return;
         };
-        let weight = state.failure_weight_at(now);
-        let added = match evidence {
+        match evidence {
             Evidence::Success(latency) => {
-                state.failure_weight = weight * SUCCESS_FORGIVES;
-                state.failure_at = now;
+                state.update(1.0 - FAILING_FAILS, 1.0 - SOUND_FAILS, now);
                 let latency_s = latency.as_secs_f64();
-                state.latency_s +=
-                    (latency_s - state.latency_s) * LATENCY_GAIN.max(1.0 / (state.samples + 1.0));
+                let gain = LATENCY_GAIN.max(1.0 / (state.samples + 1.0));
+                state.latency_s += (latency_s - state.latency_s) * gain;
                 state.samples += 1.0;
                 let mean = self.service_latency_s.entry(service).or_insert(latency_s);
                 *mean += (latency_s - *mean) * SERVICE_LATENCY_GAIN;
-                return;
             }
-            Evidence::Failure => 1.0,
-            Evidence::Overdue => 0.7,
+            Evidence::Failure => state.update(FAILING_FAILS, SOUND_FAILS, now),
             // A server that refuses although slots are free is failing.
-            Evidence::Shed if state.own_in_flight + state.peer_in_flight < slots => 1.0,
-            Evidence::Shed => 0.3,
-            Evidence::Unreachable => 2.0,
-            Evidence::Misdirected => FAILURE_WEIGHT_MAX,
-        };
-        state.failure_weight = (weight + added).min(FAILURE_WEIGHT_MAX);
-        state.failure_at = now;
+            Evidence::Shed if state.own_in_flight + state.peer_in_flight < slots => {
+                state.update(FAILING_FAILS, SOUND_FAILS, now);
+            }
+            Evidence::Shed => {}
+            Evidence::Overdue => state.update(FAILING_OVERDUE, SOUND_OVERDUE, now),
+            Evidence::Unreachable | Evidence::Misdirected => {
+                state.failing = FAILING_WHEN_UNREACHABLE;
+                state.evidence_at = now;
+            }
+        }
     }
 
     /// Returns the mean service time of a service.
@@ -191,7 +228,7 @@
             .of_service(query.service)
             .filter(|(k, s)| s.accepts(now) && !query.tried.contains(k));
         let costs = candidates.map(|(key, server)| {
-            let (cost_s, choice) = self.cost(key, server, query.domain, mean_s, now);
+            let (cost_s, choice) = self.cost(key, server, &query, mean_s, now);
             (cost_s + jitter() * JITTER_SERVICE_TIMES * mean_s, choice)
         });
         costs
@@ -203,7 +240,7 @@
         &self,
         key: ServerKey,
         server: &Server,
-        domain: &str,
+        query: &Query<'_>,
         mean_s: f64,
         now: Duration,
     ) -> (f64, Choice) {
@@ -219,18 +256,22 @@
         }
         let queued = (f64::from(in_flight) + 1.0 - slots).max(0.0);
         let wait_s = queued / slots * service_s;
-        let weight = state.failure_weight_at(now);
+        let failing = state.failing_at(now);
         let mut cost_s = service_s + wait_s;
         cost_s += BUSY_SLOT_COST * mean_s * f64::from(in_flight) / slots;
-        cost_s += weight * FAILURE_COST_SERVICE_TIMES * mean_s;
-        if &*server.entry.domain != domain {
+        let failure_cost = match query.repeatability {
+            Repeatability::Idempotent => FAILURE_COST_IDEMPOTENT,
+            Repeatability::NonIdempotent => FAILURE_COST_NON_IDEMPOTENT,
+        };
+        cost_s += failing * failure_cost * mean_s;
+        if &*server.entry.domain != query.domain {
             cost_s += OTHER_DOMAIN_COST * mean_s;
         }
         let choice = Choice {
             key,
             expected: Duration::from_secs_f64(service_s + wait_s),
             in_flight,
-            failure_weight: weight,
+            failing,
         };
         (cost_s, choice)
     }
@@ -247,6 +288,8 @@
     pub service: &'a str,
     /// Failure domain of this daemon.
     pub domain: &'a str,
+    /// Whether the request may run again.
+    pub repeatability: Repeatability,
     /// Servers that this request was sent to before.
     pub tried: &'a [ServerKey],
 }
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -13,8 +13,8 @@
 use tokio::time::{Instant, interval, sleep};
 
 use crate::metrics::{Metrics, MetricsError};
-use crate::state::{Edge, Life};
 use crate::peers::{PeerError, Peers};
+use crate::state::{Edge, Life};
 use crate::{caller, feed, local_http, logs, news};
 
 /// Port of the metrics, as named in the deploy file.
--- a/crates/corianderworks_edge/src/feed.rs
+++ b/crates/corianderworks_edge/src/feed.rs
@@ -111,7 +111,10 @@
     }
 
     fn is_watcher(&self) -> bool {
-        self.edge.beliefs().fleet.watches_store(self.edge.clock.now())
+        self.edge
+            .beliefs()
+            .fleet
+            .watches_store(self.edge.clock.now())
     }
 
     fn source(&self) -> Source {
@@ -139,7 +142,10 @@
         let since = *self.differs_since.get_or_insert(Instant::now());
         if since.elapsed() >= DIFFERENCE_MAX {
             self.differs_since = None;
-            tracing::info!(kind = self.subject.kind(), "store: belief differs from the reported view");
+            tracing::info!(
+                kind = self.subject.kind(),
+                "store: belief differs from the reported view"
+            );
             self.list().await;
         }
     }
@@ -162,7 +168,11 @@
                 self.answered();
                 if listing.unreadable > 0 {
                     let count = listing.unreadable;
-                    tracing::warn!(kind = self.subject.kind(), count, "store: unreadable objects");
+                    tracing::warn!(
+                        kind = self.subject.kind(),
+                        count,
+                        "store: unreadable objects"
+                    );
                 }
                 self.apply_all(&listing.objects);
                 self.revision = Some(listing.revision);
@@ -173,7 +183,11 @@
     }
 
     async fn watch(&mut self, revision: u64) {
-        match self.store.watch(self.subject.kind(), revision, WATCH_WAIT).await {
+        match self
+            .store
+            .watch(self.subject.kind(), revision, WATCH_WAIT)
+            .await
+        {
             Ok(changes) => {
                 self.answered();
                 self.revision = Some(changes.revision);
@@ -205,7 +219,9 @@
     }
 
     fn answered(&mut self) {
-        self.edge.metrics.store_call(self.subject.kind(), "answered");
+        self.edge
+            .metrics
+            .store_call(self.subject.kind(), "answered");
         self.pause = RETRY_MIN;
         if !self.reachable {
             self.reachable = true;
@@ -228,7 +244,10 @@
     fn set_reachable(&self) {
         if self.subject == Subject::Servers {
             let now = self.edge.clock.now();
-            self.edge.beliefs().servers.set_store_reachable(self.reachable, now);
+            self.edge
+                .beliefs()
+                .servers
+                .set_store_reachable(self.reachable, now);
         }
     }
 
@@ -260,8 +279,13 @@
             return;
         }
         let now = self.edge.clock.now();
-        let neighbours: Vec<_> =
-            self.edge.beliefs().fleet.neighbours(now).map(|m| m.peer).collect();
+        let neighbours: Vec<_> = self
+            .edge
+            .beliefs()
+            .fleet
+            .neighbours(now)
+            .map(|m| m.peer)
+            .collect();
         for address in neighbours {
             self.peers.send(address, messages.clone());
         }
@@ -269,7 +293,10 @@
 
     fn configuration_event(&mut self, event: &ObjectEvent) -> Option<Bytes> {
         if event.removed {
-            tracing::warn!(name = event.object.name, "configuration: removed; the last one stays");
+            tracing::warn!(
+                name = event.object.name,
+                "configuration: removed; the last one stays"
+            );
             return None;
         }
         self.apply_configuration(&event.object)
@@ -307,7 +334,8 @@
         match configuration::decode(object) {
             Ok(next) => {
                 let bytes = Bytes::from(object.spec.to_string());
-                self.edge.offer_configuration(Arc::new(next), Some(bytes.clone()), "store");
+                self.edge
+                    .offer_configuration(Arc::new(next), Some(bytes.clone()), "store");
                 Some(bytes)
             }
             Err(error) => {
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -262,7 +262,7 @@
     }
 
     async fn run(&mut self) -> Outcome {
-        let first = self.edge.choose(&self.plan.service, &[]);
+        let first = self.choose();
         let left = self.left();
         match admit(first.as_ref().map(|(choice, _)| choice), left, spread()) {
             Admission::Admit => {}
@@ -294,6 +294,12 @@
         }
     }
 
+    fn choose(&self) -> Option<(Choice, Target)> {
+        let repeatability = self.plan.route.repeatability;
+        self.edge
+            .choose(&self.plan.service, repeatability, &self.tried)
+    }
+
     fn left(&self) -> Duration {
         self.plan
             .give_up_at
@@ -309,10 +315,10 @@
         self.open.push((choice.key, started, false));
         self.sent += 1;
         self.trail.push(format!(
-            "{}(busy {}, failures {:.1}, expected {} ms)",
+            "{}(busy {}, failing {:.2}, expected {} ms)",
             target.id,
             choice.in_flight,
-            choice.failure_weight,
+            choice.failing,
             choice.expected.as_millis()
         ));
         self.attempts.spawn(async move {
@@ -329,7 +335,7 @@
 
     /// Starts another attempt if a server is there and the budget allows it.
     fn try_another(&mut self, free: bool) -> bool {
-        let Some((choice, target)) = self.edge.choose(&self.plan.service, &self.tried) else {
+        let Some((choice, target)) = self.choose() else {
             return false;
         };
         let now = self.edge.clock.now();
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -28,11 +28,7 @@
 const LINK_PATIENCE: Duration = Duration::from_millis(700);
 
 /// Runs until the daemon ends.
-pub async fn run(
-    edge: Arc<Edge>,
-    peers: Arc<Peers>,
-    incoming: mpsc::UnboundedReceiver<Incoming>,
-) {
+pub async fn run(edge: Arc<Edge>, peers: Arc<Peers>, incoming: mpsc::UnboundedReceiver<Incoming>) {
     let now = Instant::now();
     let mut news = News {
         edge,
@@ -134,7 +130,8 @@
             return;
         }
         self.relayed.push(report);
-        self.relay_due.get_or_insert(Instant::now() + GATHER_RELAYED);
+        self.relay_due
+            .get_or_insert(Instant::now() + GATHER_RELAYED);
     }
 
     fn pass_on(&mut self) {
@@ -206,11 +203,17 @@
             return;
         }
         for member in &fresh {
-            tracing::info!(vm = &*member.vm, domain = &*member.domain, started_unix_ms = member.started_unix_ms, "fleet: member learned");
+            tracing::info!(
+                vm = &*member.vm,
+                domain = &*member.domain,
+                started_unix_ms = member.started_unix_ms,
+                "fleet: member learned"
+            );
         }
         self.links_due = Instant::now();
         for link in links {
-            self.peers.send(link.peer, vec![Message::Members(fresh.clone())]);
+            self.peers
+                .send(link.peer, vec![Message::Members(fresh.clone())]);
         }
     }
 
@@ -231,7 +234,10 @@
         // Only a report that came straight from another domain is passed to the own one.
         let sender_outside = {
             let beliefs = self.edge.beliefs();
-            beliefs.fleet.others().any(|m| m.peer == from && m.domain != own_domain)
+            beliefs
+                .fleet
+                .others()
+                .any(|m| m.peer == from && m.domain != own_domain)
         };
         if sender_outside && !from_outside.is_empty() {
             self.send_to_neighbours(&from_outside);
@@ -240,7 +246,9 @@
 
     fn configuration(&self, bytes: &Bytes) {
         match configuration::decode_spec(bytes) {
-            Ok(next) => self.edge.offer_configuration(Arc::new(next), Some(bytes.clone()), "peer"),
+            Ok(next) => self
+                .edge
+                .offer_configuration(Arc::new(next), Some(bytes.clone()), "peer"),
             Err(error) => tracing::warn!(%error, "configuration: unreadable from a peer"),
         }
     }
@@ -275,7 +283,8 @@
                 self.peers.link(member.peer);
             }
         }
-        self.first_wanted.retain(|address, _| wanted.iter().any(|m| m.peer == *address));
+        self.first_wanted
+            .retain(|address, _| wanted.iter().any(|m| m.peer == *address));
     }
 }
 
@@ -425,7 +434,8 @@
     fn update_totals(&mut self, changed: &[ServerTag]) {
         for tag in changed {
             if let Some(key) = self.servers.key_of_tag(*tag) {
-                self.placing.set_peer_in_flight(key, self.peer_load.total(*tag));
+                self.placing
+                    .set_peer_in_flight(key, self.peer_load.total(*tag));
             }
         }
     }
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -170,7 +170,10 @@
 
     async fn connect(&self, to: SocketAddr) -> Result<Connection, PeerError> {
         let failed = |e: &dyn std::fmt::Display| PeerError::Connection(e.to_string());
-        let connecting = self.endpoint.connect(to, CERTIFICATE_NAME).map_err(|e| failed(&e))?;
+        let connecting = self
+            .endpoint
+            .connect(to, CERTIFICATE_NAME)
+            .map_err(|e| failed(&e))?;
         tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| failed(&"no response in time"))?
@@ -312,7 +315,10 @@
             Err(error) => return Err(failed(&error)),
         }
         let mut bytes = vec![0; codec::decode_prefix(prefix)?];
-        stream.read_exact(&mut bytes).await.map_err(|e| failed(&e))?;
+        stream
+            .read_exact(&mut bytes)
+            .await
+            .map_err(|e| failed(&e))?;
         match codec::decode(&bytes)? {
             Message::ConfigurationPart { bytes, last } => {
                 configuration.extend_from_slice(&bytes);
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -10,7 +10,7 @@
 use corianderworks_decision::edge::fleet::{Fleet, Member};
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
 use corianderworks_decision::edge::placing::{Choice, Evidence, Placing, Query};
-use corianderworks_decision::edge::routes::{Configuration, accept_newer};
+use corianderworks_decision::edge::routes::{Configuration, Repeatability, accept_newer};
 use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::settings::Settings;
@@ -234,12 +234,18 @@
     }
 
     /// Chooses a backend server.
-    pub fn choose(&self, service: &str, tried: &[ServerKey]) -> Option<(Choice, Target)> {
+    pub fn choose(
+        &self,
+        service: &str,
+        repeatability: Repeatability,
+        tried: &[ServerKey],
+    ) -> Option<(Choice, Target)> {
         let now = self.clock.now();
         let beliefs = self.beliefs();
         let query = Query {
             service,
             domain: &self.settings.domain,
+            repeatability,
             tried,
         };
         let jitter = || rand::rng().random::<f64>();
@@ -379,7 +385,9 @@
 }
 
 fn own_member(settings: &Settings, wall: SystemTime) -> Member {
-    let since_epoch = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = wall
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
     Member {
         vm: settings.vm.as_str().into(),
         started_unix_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
