--- a/crates/corianderworks_decision/src/edge/budget.rs
+++ b/crates/corianderworks_decision/src/edge/budget.rs
@@ -1,14 +1,17 @@
 //! Budget of attempts beyond the first, shared by all daemons without a shared counter.
 //!
-//! Load answered: an upstream service that fails as a whole, where every daemon would send
-//! each request again and double the load. The bound holds for the sum over all daemons in
-//! a window, so each daemon spends a part of its own requests and an equal share of the
-//! fixed allowance. A share that a daemon does not use is not available to the others.
+//! Load answered: a service of which many servers fail at once. Repeating each request
+//! would double the load, and no repeat loses requests that another server could run. Each
+//! daemon reports how many requests and repeats it has counted, so that all see the sum
+//! over the fleet; a daemon that does not hear some of the others takes its share only.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use super::fleet::RunKey;
+
 /// Bounds on the attempts beyond the first, per service and over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetBounds {
@@ -20,66 +23,170 @@
     pub window: Duration,
 }
 
-/// Part of the bounds that is spent. The rest covers requests that are counted in another
-/// window than their repeats, and daemons that disagree about the size of the fleet.
-const SPENT_PART: f64 = 0.7;
+/// Part of the bounds that is spent. The rest covers repeats that daemons start at the same
+/// time, before they hear of each other's.
+const SPENT_PART: f64 = 0.8;
+/// Length of a part of the window, in which counts are summed.
+const PART: Duration = Duration::from_millis(250);
+
+/// Short key of a service, equal on all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ServiceTag(pub u32);
+
+impl ServiceTag {
+    /// Returns the tag of a service.
+    pub fn of(service: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as u32)
+    }
+}
+
+/// Counts of one service at one daemon since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests.
+    pub requests: u32,
+    /// Attempts beyond the first.
+    pub repeats: u32,
+}
+
+/// What a daemon reports of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reported {
+    /// Counts since the start of the daemon.
+    pub total: Counts,
+    /// Counts within the window, for daemons that hear the first report.
+    pub recent: Counts,
+}
 
 #[derive(Debug, Default)]
 struct Window {
-    requests: VecDeque<Duration>,
-    repeats: VecDeque<Duration>,
+    own: Counts,
+    /// Own counts by the time at which they were made, oldest first.
+    own_parts: VecDeque<(Duration, Counts)>,
+    /// Own counts at the last report.
+    reported: Counts,
+    /// Counts of the fleet by the time at which they were heard, oldest first.
+    parts: VecDeque<(Duration, Counts)>,
+}
+
+fn add(parts: &mut VecDeque<(Duration, Counts)>, counts: Counts, now: Duration) {
+    match parts.back_mut() {
+        Some((begin, part)) if now < *begin + PART => {
+            part.requests += counts.requests;
+            part.repeats += counts.repeats;
+        }
+        _ => parts.push_back((now, counts)),
+    }
 }
 
-/// Budget of one daemon.
+fn sum(parts: &mut VecDeque<(Duration, Counts)>, window: Duration, now: Duration) -> Counts {
+    // A part counts until its last moment has left the window.
+    let oldest = now.saturating_sub(window + PART);
+    while parts.front().is_some_and(|(begin, _)| *begin < oldest) {
+        parts.pop_front();
+    }
+    let mut sum = Counts::default();
+    for (_, part) in parts {
+        sum.requests += part.requests;
+        sum.repeats += part.repeats;
+    }
+    sum
+}
+
+impl Window {
+    fn count_own(&mut self, counts: Counts, now: Duration) {
+        self.own.requests = self.own.requests.wrapping_add(counts.requests);
+        self.own.repeats = self.own.repeats.wrapping_add(counts.repeats);
+        add(&mut self.own_parts, counts, now);
+        add(&mut self.parts, counts, now);
+    }
+}
+
+/// Budget as one daemon sees it.
 #[derive(Debug)]
 pub struct Budget {
     bounds: BudgetBounds,
-    daemons: usize,
-    windows: HashMap<Arc<str>, Window>,
+    /// Part of the fleet that this daemon hears, itself included.
+    heard_part: f64,
+    windows: HashMap<ServiceTag, Window>,
+    others: HashMap<(RunKey, ServiceTag), Counts>,
 }
 
 impl Budget {
-    /// Creates the budget of a daemon in a fleet of `daemons`.
-    pub fn new(bounds: BudgetBounds, daemons: usize) -> Self {
+    /// Creates the budget of a daemon that knows no other.
+    pub fn new(bounds: BudgetBounds) -> Self {
         Self {
             bounds,
-            daemons: daemons.max(1),
+            heard_part: 1.0,
             windows: HashMap::new(),
+            others: HashMap::new(),
         }
     }
 
-    /// Sets the number of daemons that share the fixed allowance.
-    pub fn set_daemons(&mut self, daemons: usize) {
-        self.daemons = daemons.max(1);
+    /// Sets how many of the known daemons are heard.
+    pub fn set_heard(&mut self, heard: usize, known: usize) {
+        self.heard_part = heard as f64 / known.max(1) as f64;
     }
 
     /// Counts a request for a service.
-    pub fn request(&mut self, service: &Arc<str>, now: Duration) {
-        let window = self.windows.entry(service.clone()).or_default();
-        window.requests.push_back(now);
-        forget_before(&mut window.requests, now, self.bounds.window);
+    pub fn request(&mut self, service: &str, now: Duration) {
+        let window = self.windows.entry(ServiceTag::of(service)).or_default();
+        let counts = Counts {
+            requests: 1,
+            repeats: 0,
+        };
+        window.count_own(counts, now);
+    }
+
+    /// Whether the budget allows an attempt beyond the first.
+    pub fn allows(&mut self, service: &str, now: Duration) -> bool {
+        let (bounds, part) = (self.bounds, self.heard_part);
+        let window = self.windows.entry(ServiceTag::of(service)).or_default();
+        let sum = sum(&mut window.parts, bounds.window, now);
+        let allowed = bounds.ratio * f64::from(sum.requests) + bounds.extra * part;
+        f64::from(sum.repeats) + 1.0 <= SPENT_PART * allowed
     }
 
-    /// Takes one attempt beyond the first. Returns whether the budget allows it.
-    pub fn take(&mut self, service: &Arc<str>, now: Duration) -> bool {
-        let window = self.windows.entry(service.clone()).or_default();
-        forget_before(&mut window.requests, now, self.bounds.window);
-        forget_before(&mut window.repeats, now, self.bounds.window);
-        let by_requests = self.bounds.ratio * window.requests.len() as f64;
-        let share = self.bounds.extra / self.daemons as f64;
-        let allowed = SPENT_PART * (by_requests + share);
-        // A share below one would never allow a repeat at a daemon with little traffic.
-        if window.repeats.len() as f64 + 1.0 > allowed.max(1.0) {
+    /// Takes an attempt beyond the first. Returns whether the budget allows it.
+    pub fn take(&mut self, service: &str, now: Duration) -> bool {
+        if !self.allows(service, now) {
             return false;
         }
-        window.repeats.push_back(now);
+        let window = self.windows.entry(ServiceTag::of(service)).or_default();
+        let counts = Counts {
+            requests: 0,
+            repeats: 1,
+        };
+        window.count_own(counts, now);
         true
     }
-}
 
-fn forget_before(times: &mut VecDeque<Duration>, now: Duration, window: Duration) {
-    let oldest = now.saturating_sub(window);
-    while times.front().is_some_and(|t| *t < oldest) {
-        times.pop_front();
+    /// Returns the own counts of services with repeats since the last call, or of all.
+    pub fn take_changes(&mut self, all: bool, now: Duration) -> Vec<(ServiceTag, Reported)> {
+        let length = self.bounds.window;
+        let changed = |w: &Window| all || w.own.repeats != w.reported.repeats;
+        let windows = self.windows.iter_mut().filter(|(_, w)| changed(w));
+        let counts = windows.map(|(tag, window)| {
+            window.reported = window.own;
+            let reported = Reported {
+                total: window.own,
+                recent: sum(&mut window.own_parts, length, now),
+            };
+            (*tag, reported)
+        });
+        counts.collect()
+    }
+
+    /// Applies counts that another daemon reported.
+    pub fn hear(&mut self, origin: RunKey, tag: ServiceTag, reported: Reported, now: Duration) {
+        let Reported { total, recent } = reported;
+        let added = match self.others.insert((origin, tag), total) {
+            None => recent,
+            Some(before) => Counts {
+                requests: total.requests.wrapping_sub(before.requests),
+                repeats: total.repeats.wrapping_sub(before.repeats),
+            },
+        };
+        add(&mut self.windows.entry(tag).or_default().parts, added, now);
     }
 }
--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::budget::{Reported, ServiceTag};
 use super::fleet::RunKey;
 use super::placing::Evidence;
 
@@ -33,6 +34,8 @@
     pub in_flight: Vec<(ServerTag, u16)>,
     /// Evidence since the last report.
     pub evidence: Vec<(ServerTag, Evidence)>,
+    /// Requests and repeats per service, for the shared budget.
+    pub counts: Vec<(ServiceTag, Reported)>,
     /// What the daemon saw of the store, if it has just asked.
     pub store: Option<StoreView>,
 }
--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -18,7 +18,6 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
-use super::routes::Repeatability;
 use super::servers::{Server, ServerKey, Servers};
 
 /// Probability that a server fails of which nothing has been heard for long.
@@ -35,9 +34,9 @@
 const SOUND_OVERDUE: f64 = 0.02;
 /// Probability that a server fails that can't be connected, or is another one by now.
 const FAILING_WHEN_UNREACHABLE: f64 = 0.97;
-/// Cost of a failure in service times: the request is lost, or has to run again.
-const FAILURE_COST_NON_IDEMPOTENT: f64 = 10.0;
-const FAILURE_COST_IDEMPOTENT: f64 = 4.0;
+/// Cost of a failure in service times, if the request is lost, and if it runs again.
+const FAILURE_COST_LOST: f64 = 10.0;
+const FAILURE_COST_REPEATED: f64 = 4.0;
 /// Weight of a new sample in the mean service time.
 const LATENCY_GAIN: f64 = 0.2;
 /// Weight of a new sample in the mean service time of the service.
@@ -48,6 +47,18 @@
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
+/// Share of failures at which a service uses all of its servers. More than a tenth may
+/// fail only while most servers are in use, so the limit lies below that.
+const SPREAD_FAILED_SHARE: f64 = 0.08;
+/// Time in which an outcome loses 63% of its weight in that share.
+const SPREAD_DECAY: Duration = Duration::from_millis(2_000);
+/// Time without a request after which a server is tried again then. All have to be used
+/// within 2 s.
+const SPREAD_IDLE: Duration = Duration::from_millis(1_200);
+/// Probability of failing above which a server is not tried again for that reason.
+const SPREAD_FAILING_MAX: f64 = 0.9;
+/// Advantage of a server that is tried again, in service times.
+const SPREAD_ADVANTAGE: f64 = 20.0;
 /// Cost of a server in another failure domain, in service times.
 const OTHER_DOMAIN_COST: f64 = 0.8;
 /// Cost factor of a server that has just started.
@@ -79,6 +90,8 @@
     /// Probability that the server fails, at the time of the last evidence.
     failing: f64,
     evidence_at: Duration,
+    /// When any daemon last sent a request there.
+    used_at: Duration,
     latency_s: f64,
     samples: f64,
 }
@@ -90,6 +103,7 @@
             peer_in_flight: 0,
             failing: FAILING_WHEN_NEW,
             evidence_at: Duration::ZERO,
+            used_at: Duration::ZERO,
             latency_s: 0.0,
             samples: 0.0,
         }
@@ -103,7 +117,7 @@
             return self.failing;
         }
         let age = now.saturating_sub(self.evidence_at);
-        let kept = (-age.as_secs_f64() / EVIDENCE_DECAY.as_secs_f64()).exp();
+        let kept = fade(age, EVIDENCE_DECAY);
         FAILING_BASE_RATE + (self.failing - FAILING_BASE_RATE) * kept
     }
 
@@ -120,7 +134,35 @@
 #[derive(Debug, Default)]
 pub struct Placing {
     states: SecondaryMap<ServerKey, State>,
-    service_latency_s: HashMap<std::sync::Arc<str>, f64>,
+    services: HashMap<std::sync::Arc<str>, ServiceState>,
+}
+
+/// What is known of a service as a whole.
+#[derive(Debug, Default)]
+struct ServiceState {
+    latency_s: Option<f64>,
+    /// Outcomes and failures, both fading.
+    outcomes: f64,
+    failures: f64,
+    at: Duration,
+}
+
+impl ServiceState {
+    fn count(&mut self, failed: bool, now: Duration) {
+        let kept = fade(now.saturating_sub(self.at), SPREAD_DECAY);
+        self.outcomes = self.outcomes * kept + 1.0;
+        self.failures = self.failures * kept + f64::from(u8::from(failed));
+        self.at = now;
+    }
+
+    fn failed_share(&self) -> f64 {
+        self.failures / self.outcomes.max(1.0)
+    }
+}
+
+/// Weight that remains after `age`.
+fn fade(age: Duration, decay: Duration) -> f64 {
+    (-age.as_secs_f64() / decay.as_secs_f64()).exp()
 }
 
 /// What is known of the chosen server, for the decision log.
@@ -143,9 +185,10 @@
     }
 
     /// Counts an attempt of this daemon that starts.
-    pub fn started(&mut self, key: ServerKey) {
+    pub fn started(&mut self, key: ServerKey, now: Duration) {
         if let Some(state) = self.state(key) {
             state.own_in_flight += 1;
+            state.used_at = now;
         }
     }
 
@@ -157,8 +200,11 @@
     }
 
     /// Sets the number of requests that the other daemons have in flight.
-    pub fn set_peer_in_flight(&mut self, key: ServerKey, in_flight: u32) {
+    pub fn set_peer_in_flight(&mut self, key: ServerKey, in_flight: u32, now: Duration) {
         if let Some(state) = self.state(key) {
+            if in_flight > 0 {
+                state.used_at = now;
+            }
             state.peer_in_flight = in_flight;
         }
     }
@@ -172,9 +218,12 @@
     pub fn observe(&mut self, server: (ServerKey, &Server), evidence: Evidence, now: Duration) {
         let (key, server) = server;
         let (service, slots) = (server.entry.service.clone(), server.entry.slots);
-        let Some(state) = self.state(key) else {
+        let known = self.services.entry(service).or_default();
+        known.count(!matches!(evidence, Evidence::Success(_) | Evidence::Overdue), now);
+        let Some(entry) = self.states.entry(key) else {
             return;
         };
+        let state = entry.or_default();
         match evidence {
             Evidence::Success(latency) => {
                 state.update(1.0 - FAILING_FAILS, 1.0 - SOUND_FAILS, now);
@@ -182,7 +231,7 @@
                 let gain = LATENCY_GAIN.max(1.0 / (state.samples + 1.0));
                 state.latency_s += (latency_s - state.latency_s) * gain;
                 state.samples += 1.0;
-                let mean = self.service_latency_s.entry(service).or_insert(latency_s);
+                let mean = known.latency_s.get_or_insert(latency_s);
                 *mean += (latency_s - *mean) * SERVICE_LATENCY_GAIN;
             }
             Evidence::Failure => state.update(FAILING_FAILS, SOUND_FAILS, now),
@@ -201,8 +250,8 @@
 
     /// Returns the mean service time of a service.
     pub fn service_time(&self, service: &str) -> Duration {
-        let known = self.service_latency_s.get(service);
-        known.map_or(INITIAL_SERVICE_TIME, |s| Duration::from_secs_f64(*s))
+        let known = self.services.get(service).and_then(|s| s.latency_s);
+        known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
     }
 
     /// Returns the number of requests that this daemon has in flight, per server.
@@ -210,7 +259,7 @@
         self.states.get(key).map_or(0, |s| s.own_in_flight)
     }
 
-    /// Chooses the server with the least expected cost, except those in `tried`.
+    /// Chooses the server with the least expected cost, among those that the query names.
     ///
     /// `jitter` returns numbers in 0..1.
     pub fn choose<F>(
@@ -224,11 +273,15 @@
         F: FnMut() -> f64,
     {
         let mean_s = self.service_time(query.service).as_secs_f64();
+        let service = self.services.get(query.service);
+        let spreads = service.is_some_and(|s| s.failed_share() > SPREAD_FAILED_SHARE);
         let candidates = servers
             .of_service(query.service)
-            .filter(|(k, s)| s.accepts(now) && !query.tried.contains(k));
+            .filter(|(k, s)| s.accepts(now) && query.among.contains(*k));
         let costs = candidates.map(|(key, server)| {
             let (cost_s, choice) = self.cost(key, server, &query, mean_s, now);
+            let is_due = spreads && self.is_idle(key, now) && choice.failing < SPREAD_FAILING_MAX;
+            let cost_s = if is_due { cost_s - SPREAD_ADVANTAGE * mean_s } else { cost_s };
             (cost_s + jitter() * JITTER_SERVICE_TIMES * mean_s, choice)
         });
         costs
@@ -236,6 +289,11 @@
             .map(|(_, choice)| choice)
     }
 
+    fn is_idle(&self, key: ServerKey, now: Duration) -> bool {
+        let used_at = self.states.get(key).map(|s| s.used_at);
+        used_at.is_none_or(|at| now.saturating_sub(at) >= SPREAD_IDLE)
+    }
+
     fn cost(
         &self,
         key: ServerKey,
@@ -259,9 +317,9 @@
         let failing = state.failing_at(now);
         let mut cost_s = service_s + wait_s;
         cost_s += BUSY_SLOT_COST * mean_s * f64::from(in_flight) / slots;
-        let failure_cost = match query.repeatability {
-            Repeatability::Idempotent => FAILURE_COST_IDEMPOTENT,
-            Repeatability::NonIdempotent => FAILURE_COST_NON_IDEMPOTENT,
+        let failure_cost = match query.may_repeat {
+            true => FAILURE_COST_REPEATED,
+            false => FAILURE_COST_LOST,
         };
         cost_s += failing * failure_cost * mean_s;
         if &*server.entry.domain != query.domain {
@@ -281,6 +339,24 @@
     }
 }
 
+/// Servers that a choice is made among.
+#[derive(Debug, Clone, Copy)]
+pub enum Among<'a> {
+    /// All of the service except these.
+    AllBut(&'a [ServerKey]),
+    /// Only these.
+    Only(&'a [ServerKey]),
+}
+
+impl Among<'_> {
+    fn contains(self, key: ServerKey) -> bool {
+        match self {
+            Self::AllBut(keys) => !keys.contains(&key),
+            Self::Only(keys) => keys.contains(&key),
+        }
+    }
+}
+
 /// What a choice is made for.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -288,8 +364,8 @@
     pub service: &'a str,
     /// Failure domain of this daemon.
     pub domain: &'a str,
-    /// Whether the request may run again.
-    pub repeatability: Repeatability,
-    /// Servers that this request was sent to before.
-    pub tried: &'a [ServerKey],
+    /// Whether the request may run again at another server if this one fails it.
+    pub may_repeat: bool,
+    /// Servers that the request may go to.
+    pub among: Among<'a>,
 }
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::admission::{Admission, admit, retry_after};
-use corianderworks_decision::edge::attempts::{AttemptEnd, AttemptState, NextStep, next_step};
-use corianderworks_decision::edge::placing::{Choice, Evidence};
+use corianderworks_decision::edge::attempts::{
+    ASK_AGAIN_PAUSE, AttemptEnd, AttemptState, NextStep, next_step,
+};
+use corianderworks_decision::edge::placing::{Among, Choice, Evidence};
 use corianderworks_decision::edge::routes::{ConfigVersion, Repeatability, Route};
 use corianderworks_decision::edge::servers::ServerKey;
 use corianderworks_decision::edge::shutdown::Phase;
@@ -222,8 +224,14 @@
     outgoing: Arc<Outgoing>,
     tried: Vec<ServerKey>,
     open: Vec<(ServerKey, Instant, bool)>,
+    /// Servers that refused the request and have not run it.
+    refused: Vec<ServerKey>,
+    /// Number of servers that the request was sent to.
     sent: u32,
+    refusals: u32,
     connects_failed: u32,
+    /// When a server that refused is asked again.
+    ask_again_at: Option<Instant>,
     attempts: JoinSet<Ended>,
     last_response: Option<UpstreamResponse>,
     last_end: Option<AttemptEnd>,
@@ -251,8 +259,11 @@
             outgoing: Arc::new(outgoing),
             tried: Vec::new(),
             open: Vec::new(),
+            refused: Vec::new(),
             sent: 0,
+            refusals: 0,
             connects_failed: 0,
+            ask_again_at: None,
             attempts: JoinSet::new(),
             last_response: None,
             last_end: None,
@@ -262,7 +273,7 @@
     }
 
     async fn run(&mut self) -> Outcome {
-        let first = self.choose();
+        let first = self.choose(Among::AllBut(&[]));
         let left = self.left();
         match admit(first.as_ref().map(|(choice, _)| choice), left, spread()) {
             Admission::Admit => {}
@@ -288,16 +299,24 @@
                     }
                 },
                 () = sleep_until(self.plan.give_up_at) => return self.timed_out(),
+                () = sleep_until(self.ask_again_at.unwrap_or(self.plan.give_up_at)),
+                    if self.ask_again_at.is_some() => if let Step::End(outcome) = self.ask_again() {
+                        return outcome;
+                    },
                 () = sleep_until(overdue_at.unwrap_or(self.plan.give_up_at)),
                     if overdue_at.is_some() => self.overdue(),
             }
         }
     }
 
-    fn choose(&self) -> Option<(Choice, Target)> {
-        let repeatability = self.plan.route.repeatability;
+    fn choose(&self, among: Among<'_>) -> Option<(Choice, Target)> {
+        let repeatability = match self.sent + 1 < self.plan.route.attempts_max {
+            true => self.plan.route.repeatability,
+            // The last attempt can't be repeated either.
+            false => Repeatability::NonIdempotent,
+        };
         self.edge
-            .choose(&self.plan.service, repeatability, &self.tried)
+            .choose(&self.plan.service, repeatability, among)
     }
 
     fn left(&self) -> Duration {
@@ -311,9 +330,12 @@
         let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
         let left = self.left();
         let started = Instant::now();
-        self.tried.push(choice.key);
+        if !self.tried.contains(&choice.key) {
+            self.tried.push(choice.key);
+            self.sent += 1;
+        }
+        self.refused.retain(|key| *key != choice.key);
         self.open.push((choice.key, started, false));
-        self.sent += 1;
         self.trail.push(format!(
             "{}(busy {}, failing {:.2}, expected {} ms)",
             target.id,
@@ -335,7 +357,7 @@
 
     /// Starts another attempt if a server is there and the budget allows it.
     fn try_another(&mut self, free: bool) -> bool {
-        let Some((choice, target)) = self.choose() else {
+        let Some((choice, target)) = self.choose(Among::AllBut(&self.tried)) else {
             return false;
         };
         let now = self.edge.clock.now();
@@ -348,6 +370,21 @@
         true
     }
 
+    /// Asks a server again that refused the request.
+    fn ask_again(&mut self) -> Step {
+        self.ask_again_at = None;
+        let now = self.edge.clock.now();
+        let chosen = self.choose(Among::Only(&self.refused));
+        let allowed = |service: &str| self.edge.beliefs().budget.take(service, now);
+        match chosen {
+            Some((choice, target)) if allowed(&self.plan.service) => {
+                self.start(choice, target);
+                Step::Continue
+            }
+            _ => Step::End(self.give_up(AttemptEnd::NotRun)),
+        }
+    }
+
     fn overdue_after(&self) -> Duration {
         let usual = self.edge.service_time(&self.plan.service);
         usual.mul_f64(OVERDUE_SERVICE_TIMES).max(OVERDUE_MIN)
@@ -401,6 +438,10 @@
             self.sent -= 1;
             self.connects_failed += 1;
         }
+        if end == AttemptEnd::NotRun {
+            self.refusals += 1;
+            self.refused.push(ended.key);
+        }
         self.may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown);
         if response.is_some() && end != AttemptEnd::Unknown {
             self.last_response = response;
@@ -414,6 +455,7 @@
             repeatability: self.plan.route.repeatability,
             sent: self.sent,
             attempts_max: self.plan.route.attempts_max,
+            refusals: self.refusals,
             connects_failed: self.connects_failed,
             left: self.left(),
         };
@@ -429,6 +471,11 @@
         if step == NextStep::TryAnother && self.try_another(free) {
             return Step::Continue;
         }
+        let no_other = step == NextStep::TryAnother && end == AttemptEnd::NotRun;
+        if step == NextStep::AskAgain || no_other {
+            self.ask_again_at = Some(Instant::now() + ASK_AGAIN_PAUSE);
+            return Step::Continue;
+        }
         Step::End(self.give_up(end))
     }
 
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, Standing};
+use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, RunKey, Standing};
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
+use corianderworks_decision::edge::placing::Evidence;
 use corianderworks_platform::{configuration, daemons};
 use corianderworks_wire::codec;
 use tokio::sync::mpsc;
@@ -257,11 +258,11 @@
         let now = self.edge.clock.now();
         let mut beliefs = self.edge.beliefs();
         for key in beliefs.fleet.silent(now) {
-            beliefs.forget_load(key);
+            beliefs.forget_load(key, now);
         }
         let size = beliefs.fleet.size(now);
-        beliefs.budget.set_daemons(size);
         let known = beliefs.fleet.others().count() + 1;
+        beliefs.budget.set_heard(size, known);
         drop(beliefs);
         self.edge.metrics.set("daemons_up", size as u64);
         self.edge.metrics.set("daemons_known", known as u64);
@@ -370,6 +371,7 @@
             true => beliefs.servers.entries().map(|e| e.tag()).collect(),
             false => changed,
         };
+        let counts = beliefs.budget.take_changes(complete, self.clock.now());
         let load = |tag: ServerTag| {
             let key = beliefs.servers.key_of_tag(tag);
             let load = key.map_or(0, |key| beliefs.placing.own_in_flight(key));
@@ -386,6 +388,7 @@
             complete,
             in_flight,
             evidence,
+            counts,
             store,
         }
     }
@@ -399,10 +402,13 @@
         }
         beliefs.fleet.report(report.origin, report.standing, now);
         let changed = beliefs.peer_load.apply(report);
-        beliefs.update_totals(&changed);
+        beliefs.update_totals(&changed, now);
         for (tag, evidence) in &report.evidence {
             beliefs.observe_tag(*tag, *evidence, now);
         }
+        for (tag, counts) in &report.counts {
+            beliefs.budget.hear(report.origin, *tag, *counts, now);
+        }
         if let Some(view) = report.store {
             beliefs.hear_store_view(view, now);
         }
@@ -431,26 +437,21 @@
 }
 
 impl Beliefs {
-    fn update_totals(&mut self, changed: &[ServerTag]) {
+    fn update_totals(&mut self, changed: &[ServerTag], now: Duration) {
         for tag in changed {
             if let Some(key) = self.servers.key_of_tag(*tag) {
-                self.placing
-                    .set_peer_in_flight(key, self.peer_load.total(*tag));
+                let total = self.peer_load.total(*tag);
+                self.placing.set_peer_in_flight(key, total, now);
             }
         }
     }
 
-    fn forget_load(&mut self, key: corianderworks_decision::edge::fleet::RunKey) {
+    fn forget_load(&mut self, key: RunKey, now: Duration) {
         let changed = self.peer_load.forget(key);
-        self.update_totals(&changed);
+        self.update_totals(&changed, now);
     }
 
-    fn observe_tag(
-        &mut self,
-        tag: ServerTag,
-        evidence: corianderworks_decision::edge::placing::Evidence,
-        now: Duration,
-    ) {
+    fn observe_tag(&mut self, tag: ServerTag, evidence: Evidence, now: Duration) {
         let Some(key) = self.servers.key_of_tag(tag) else {
             return;
         };
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -9,7 +9,7 @@
 use corianderworks_decision::edge::budget::Budget;
 use corianderworks_decision::edge::fleet::{Fleet, Member};
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
-use corianderworks_decision::edge::placing::{Choice, Evidence, Placing, Query};
+use corianderworks_decision::edge::placing::{Among, Choice, Evidence, Placing, Query};
 use corianderworks_decision::edge::routes::{Configuration, Repeatability, accept_newer};
 use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
 use corianderworks_decision::edge::shutdown::Phase;
@@ -115,7 +115,7 @@
 impl Edge {
     /// Creates the state of a daemon.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        let budget = Budget::new(settings.budget, 1);
+        let budget = Budget::new(settings.budget);
         let beliefs = Beliefs {
             configuration: None,
             servers: Servers::new(),
@@ -238,15 +238,17 @@
         &self,
         service: &str,
         repeatability: Repeatability,
-        tried: &[ServerKey],
+        among: Among<'_>,
     ) -> Option<(Choice, Target)> {
         let now = self.clock.now();
-        let beliefs = self.beliefs();
+        let mut beliefs = self.beliefs();
+        let may_repeat = repeatability == Repeatability::Idempotent
+            && beliefs.budget.allows(service, now);
         let query = Query {
             service,
             domain: &self.settings.domain,
-            repeatability,
-            tried,
+            may_repeat,
+            among,
         };
         let jitter = || rand::rng().random::<f64>();
         let choice = beliefs
@@ -290,7 +292,7 @@
     /// Counts an attempt at a backend server until the guard is dropped.
     pub fn start_attempt(self: &Arc<Self>, key: ServerKey) -> AttemptGuard {
         let mut beliefs = self.beliefs();
-        beliefs.placing.started(key);
+        beliefs.placing.started(key, self.clock.now());
         beliefs.load_changed(key);
         drop(beliefs);
         self.news.notify_one();
