Spread a failing service only over servers that probably work

Cause: trying failing servers again kept the failed share above the limit that starts it. Change: spread at a tenth of failed attempts, after 1.5 s without use, and only to servers with a probability of failing under 0.4.

--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -47,16 +47,17 @@
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
-/// Share of failures at which a service uses all of its servers. More than a tenth may
-/// fail only while most servers are in use, so the limit lies below that.
-const SPREAD_FAILED_SHARE: f64 = 0.08;
+/// Share of failed attempts at which a service uses all of its servers. More than a tenth
+/// of the requests may fail only while most sound servers are in use.
+const SPREAD_FAILED_SHARE: f64 = 0.1;
 /// Time in which an outcome loses 63% of its weight in that share.
 const SPREAD_DECAY: Duration = Duration::from_millis(2_000);
 /// Time without a request after which a server is tried again then. All have to be used
 /// within 2 s.
-const SPREAD_IDLE: Duration = Duration::from_millis(1_200);
-/// Probability of failing above which a server is not tried again for that reason.
-const SPREAD_FAILING_MAX: f64 = 0.9;
+const SPREAD_IDLE: Duration = Duration::from_millis(1_500);
+/// Probability of failing above which a server is not tried again for that reason: tries
+/// that fail would raise the share that causes them.
+const SPREAD_FAILING_MAX: f64 = 0.4;
 /// Advantage of a server that is tried again, in service times.
 const SPREAD_ADVANTAGE: f64 = 20.0;
 /// Cost of a server in another failure domain, in service times.
