Measure responses against the usual time of their route; test edge daemon and adapter

Cause: short requests on other routes of a service lowered its mean time, so ordinary requests counted as overdue and ran twice; a server that had just answered was believed sound too firmly, and three more payments met it after its first failure. Ruled out: late reports; the second failure came 80 ms after the first, in one domain. Change: a usual time per route, pace per server; the belief returns to a base rate of 0.2 in 3 s; tests of the caller side, of stopping, of the adapter and of the decisions.

--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -13,19 +13,21 @@
 //! which nothing is known, and a failing server is used only when all others are full.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
+use super::routes::Route;
 use super::servers::{Server, ServerKey, Servers};
 
 /// Probability that a server fails of which nothing has been heard for long.
-const FAILING_BASE_RATE: f64 = 0.1;
+const FAILING_BASE_RATE: f64 = 0.2;
 /// Probability that a server fails that has just joined.
 const FAILING_WHEN_NEW: f64 = 0.02;
 /// Time in which evidence loses 63% of its weight; gray failures last several seconds.
-const EVIDENCE_DECAY: Duration = Duration::from_millis(5_000);
+const EVIDENCE_DECAY: Duration = Duration::from_millis(3_000);
 /// Share of requests that a failing server fails, and that a sound one fails.
 const FAILING_FAILS: f64 = 0.7;
 const SOUND_FAILS: f64 = 0.02;
@@ -37,14 +39,17 @@
 /// Cost of a failure in service times, if the request is lost, and if it runs again.
 const FAILURE_COST_LOST: f64 = 10.0;
 const FAILURE_COST_REPEATED: f64 = 4.0;
-/// Weight of a new sample in the mean service time.
-const LATENCY_GAIN: f64 = 0.2;
-/// Weight of a new sample in the mean service time of the service.
-const SERVICE_LATENCY_GAIN: f64 = 0.05;
-/// Samples of a server that count as much as the mean of its service.
-const LATENCY_PRIOR_SAMPLES: f64 = 4.0;
-/// Service time before the first sample of a service.
-const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(300);
+/// Weight of a new sample in the pace of a server, and in the usual time of a route.
+const PACE_GAIN: f64 = 0.2;
+const ROUTE_GAIN: f64 = 0.1;
+/// Samples of a server that count as much as the assumption that it has the usual pace.
+const PACE_PRIOR_SAMPLES: f64 = 4.0;
+/// Most samples that count against that assumption.
+const PACE_SAMPLES_MAX: f64 = 20.0;
+/// Part of a route's latency objective that a response takes, before any is known.
+const USUAL_PART_OF_OBJECTIVE: f64 = 0.33;
+/// Samples of a route that count as much as that assumption.
+const ROUTE_PRIOR_SAMPLES: f64 = 3.0;
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
 /// Share of failed attempts at which a service uses all of its servers. More than a tenth
@@ -70,8 +75,8 @@
 /// How an attempt ended, as far as it says something about the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
-    /// Complete response that is no failure, after this time.
-    Success(Duration),
+    /// Complete response that is no failure.
+    Success(Pace),
     /// Failure response, broken or missing response.
     Failure,
     /// The server refused the request as full.
@@ -84,6 +89,18 @@
     Misdirected,
 }
 
+/// Time of a response in hundredths of the usual time of its route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace(pub u16);
+
+impl Pace {
+    /// Returns the pace of a response that took `took` in place of `usual`.
+    pub fn of(took: Duration, usual: Duration) -> Self {
+        let ratio = took.as_secs_f64() / usual.as_secs_f64().max(0.001);
+        Self((ratio * 100.0).min(f64::from(u16::MAX)) as u16)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct State {
     own_in_flight: u32,
@@ -93,7 +110,8 @@
     evidence_at: Duration,
     /// When any daemon last sent a request there.
     used_at: Duration,
-    latency_s: f64,
+    /// Mean pace, 1.0 is usual.
+    pace: f64,
     samples: f64,
 }
 
@@ -105,7 +123,7 @@
             failing: FAILING_WHEN_NEW,
             evidence_at: Duration::ZERO,
             used_at: Duration::ZERO,
-            latency_s: 0.0,
+            pace: 1.0,
             samples: 0.0,
         }
     }
@@ -135,13 +153,20 @@
 #[derive(Debug, Default)]
 pub struct Placing {
     states: SecondaryMap<ServerKey, State>,
-    services: HashMap<std::sync::Arc<str>, ServiceState>,
+    services: HashMap<Arc<str>, ServiceState>,
+    routes: HashMap<Arc<str>, RouteTime>,
+}
+
+/// Times of responses of a route.
+#[derive(Debug, Default)]
+struct RouteTime {
+    mean_s: f64,
+    samples: f64,
 }
 
 /// What is known of a service as a whole.
 #[derive(Debug, Default)]
 struct ServiceState {
-    latency_s: Option<f64>,
     /// Outcomes and failures, both fading.
     outcomes: f64,
     failures: f64,
@@ -220,20 +245,20 @@
         let (key, server) = server;
         let (service, slots) = (server.entry.service.clone(), server.entry.slots);
         let known = self.services.entry(service).or_default();
-        known.count(!matches!(evidence, Evidence::Success(_) | Evidence::Overdue), now);
+        known.count(
+            !matches!(evidence, Evidence::Success(_) | Evidence::Overdue),
+            now,
+        );
         let Some(entry) = self.states.entry(key) else {
             return;
         };
         let state = entry.or_default();
         match evidence {
-            Evidence::Success(latency) => {
+            Evidence::Success(pace) => {
                 state.update(1.0 - FAILING_FAILS, 1.0 - SOUND_FAILS, now);
-                let latency_s = latency.as_secs_f64();
-                let gain = LATENCY_GAIN.max(1.0 / (state.samples + 1.0));
-                state.latency_s += (latency_s - state.latency_s) * gain;
+                let gain = PACE_GAIN.max(1.0 / (state.samples + 1.0));
+                state.pace += (f64::from(pace.0) / 100.0 - state.pace) * gain;
                 state.samples += 1.0;
-                let mean = known.latency_s.get_or_insert(latency_s);
-                *mean += (latency_s - *mean) * SERVICE_LATENCY_GAIN;
             }
             Evidence::Failure => state.update(FAILING_FAILS, SOUND_FAILS, now),
             // A server that refuses although slots are free is failing.
@@ -249,10 +274,31 @@
         }
     }
 
-    /// Returns the mean service time of a service.
-    pub fn service_time(&self, service: &str) -> Duration {
-        let known = self.services.get(service).and_then(|s| s.latency_s);
-        known.map_or(INITIAL_SERVICE_TIME, Duration::from_secs_f64)
+    /// Learns how long a response of a route took and returns its pace.
+    pub fn learn_time(&mut self, route: &Route, took: Duration) -> Pace {
+        let pace = Pace::of(took, self.usual_time(route));
+        let time = self.routes.entry(route.name.clone()).or_default();
+        let gain = ROUTE_GAIN.max(1.0 / (time.samples + 1.0));
+        time.mean_s += (took.as_secs_f64() - time.mean_s) * gain;
+        time.samples += 1.0;
+        pace
+    }
+
+    /// Returns the usual time of a response of a route.
+    pub fn usual_time(&self, route: &Route) -> Duration {
+        let assumed_s = route.latency_objective.as_secs_f64() * USUAL_PART_OF_OBJECTIVE;
+        let known = self.routes.get(&route.name);
+        let (mean_s, samples) = known.map_or((0.0, 0.0), |t| (t.mean_s, t.samples));
+        let sum_s = assumed_s * ROUTE_PRIOR_SAMPLES + mean_s * samples;
+        Duration::from_secs_f64(sum_s / (ROUTE_PRIOR_SAMPLES + samples))
+    }
+
+    /// Forgets the routes that are no longer configured.
+    pub fn keep_routes<F>(&mut self, is_configured: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.routes.retain(|name, _| is_configured(name));
     }
 
     /// Returns the number of requests that this daemon has in flight, per server.
@@ -273,7 +319,7 @@
     where
         F: FnMut() -> f64,
     {
-        let mean_s = self.service_time(query.service).as_secs_f64();
+        let mean_s = query.usual.as_secs_f64();
         let service = self.services.get(query.service);
         let spreads = service.is_some_and(|s| s.failed_share() > SPREAD_FAILED_SHARE);
         let candidates = servers
@@ -282,7 +328,11 @@
         let costs = candidates.map(|(key, server)| {
             let (cost_s, choice) = self.cost(key, server, &query, mean_s, now);
             let is_due = spreads && self.is_idle(key, now) && choice.failing < SPREAD_FAILING_MAX;
-            let cost_s = if is_due { cost_s - SPREAD_ADVANTAGE * mean_s } else { cost_s };
+            let cost_s = if is_due {
+                cost_s - SPREAD_ADVANTAGE * mean_s
+            } else {
+                cost_s
+            };
             (cost_s + jitter() * JITTER_SERVICE_TIMES * mean_s, choice)
         });
         costs
@@ -307,9 +357,9 @@
         let state = self.states.get(key).unwrap_or(&fresh);
         let in_flight = state.own_in_flight + state.peer_in_flight;
         let slots = f64::from(server.entry.slots.max(1));
-        let mut service_s = (state.latency_s * state.samples.min(20.0)
-            + mean_s * LATENCY_PRIOR_SAMPLES)
-            / (state.samples.min(20.0) + LATENCY_PRIOR_SAMPLES);
+        let samples = state.samples.min(PACE_SAMPLES_MAX);
+        let pace = (state.pace * samples + PACE_PRIOR_SAMPLES) / (samples + PACE_PRIOR_SAMPLES);
+        let mut service_s = pace * mean_s;
         if now < server.cold_until {
             service_s *= COLD_FACTOR;
         }
@@ -363,6 +413,8 @@
 pub struct Query<'a> {
     /// Service of the request.
     pub service: &'a str,
+    /// Usual time of a response of the route.
+    pub usual: Duration,
     /// Failure domain of this daemon.
     pub domain: &'a str,
     /// Whether the request may run again at another server if this one fails it.
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -1,6 +1,6 @@
 //! Routes of a configuration: which service a request goes to, and its limits.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -108,6 +108,7 @@
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceSettings>,
     hosts: HashMap<String, Vec<Arc<Route>>>,
+    names: HashSet<Arc<str>>,
 }
 
 impl Configuration {
@@ -125,12 +126,14 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
+        let names = by_host.values().flatten().map(|r| r.name.clone()).collect();
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Self {
             version,
             limits,
             services,
             hosts: by_host,
+            names,
         }
     }
 
@@ -141,6 +144,11 @@
         routes.iter().find(|r| path.starts_with(&r.path_prefix))
     }
 
+    /// Whether there is a route of this name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/corianderworks_decision/tests/edge_budget.rs
+++ b/crates/corianderworks_decision/tests/edge_budget.rs
@@ -55,10 +55,16 @@
         }
     }
     let in_window = |times: &[Duration], end: Duration| {
-        times.iter().filter(|t| **t > end.saturating_sub(BOUNDS.window) && **t <= end).count() as f64
+        times
+            .iter()
+            .filter(|t| **t > end.saturating_sub(BOUNDS.window) && **t <= end)
+            .count() as f64
     };
     let ends: Vec<_> = (10_000..40_000).step_by(100).map(at_ms).collect();
-    let most = ends.iter().map(|e| in_window(&repeats, *e)).fold(0.0, f64::max);
+    let most = ends
+        .iter()
+        .map(|e| in_window(&repeats, *e))
+        .fold(0.0, f64::max);
     (most, in_window(&requests, at_ms(30_000)))
 }
 
--- a/crates/corianderworks_decision/tests/edge_placing.rs
+++ b/crates/corianderworks_decision/tests/edge_placing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use corianderworks_decision::edge::placing::{Among, Evidence, Placing, Query};
+use corianderworks_decision::edge::placing::{Among, Evidence, Pace, Placing, Query};
 use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -33,13 +33,20 @@
 fn query(may_repeat: bool) -> Query<'static> {
     Query {
         service: SERVICE,
+        usual: at_ms(300),
         domain: "a",
         may_repeat,
         among: Among::AllBut(&[]),
     }
 }
 
-fn observe(placing: &mut Placing, servers: &Servers, key: ServerKey, evidence: Evidence, at: Duration) {
+fn observe(
+    placing: &mut Placing,
+    servers: &Servers,
+    key: ServerKey,
+    evidence: Evidence,
+    at: Duration,
+) {
     let server = servers.get(key).expect("server is listed");
     placing.observe((key, server), evidence, at);
 }
@@ -54,16 +61,32 @@
     let keys = [add(&mut servers, "s1", "a"), add(&mut servers, "s2", "a")];
     let mut placing = Placing::new();
     for key in keys {
-        observe(&mut placing, &servers, key, Evidence::Success(at_ms(300)), at_ms(1));
+        observe(
+            &mut placing,
+            &servers,
+            key,
+            Evidence::Success(Pace(100)),
+            at_ms(1),
+        );
     }
-    observe(&mut placing, &servers, keys[0], Evidence::Failure, at_ms(100));
-    let choice = placing.choose(&servers, query(false), at_ms(110), || 0.5).expect("a server");
+    observe(
+        &mut placing,
+        &servers,
+        keys[0],
+        Evidence::Failure,
+        at_ms(100),
+    );
+    let choice = placing
+        .choose(&servers, query(false), at_ms(110), || 0.5)
+        .expect("a server");
     assert_eq!(choice.key, keys[1]);
     // Without further evidence the belief returns to the base rate.
     for _ in 0..3 {
         placing.started(keys[1], at_ms(200));
     }
-    let choice = placing.choose(&servers, query(false), at_ms(60_000), || 0.5).expect("a server");
+    let choice = placing
+        .choose(&servers, query(false), at_ms(60_000), || 0.5)
+        .expect("a server");
     assert_eq!(choice.key, keys[0]);
 }
 
@@ -73,11 +96,19 @@
     let failing = add(&mut servers, "s1", "a");
     let sound = add(&mut servers, "s2", "a");
     let mut placing = Placing::new();
-    observe(&mut placing, &servers, sound, Evidence::Success(at_ms(300)), at_ms(1));
+    observe(
+        &mut placing,
+        &servers,
+        sound,
+        Evidence::Success(Pace(100)),
+        at_ms(1),
+    );
     observe(&mut placing, &servers, failing, Evidence::Failure, at_ms(1));
     observe(&mut placing, &servers, failing, Evidence::Failure, at_ms(2));
     placing.set_peer_in_flight(sound, 60, at_ms(1));
-    let choice = placing.choose(&servers, query(false), at_ms(10), || 0.5).expect("a server");
+    let choice = placing
+        .choose(&servers, query(false), at_ms(10), || 0.5)
+        .expect("a server");
     assert_eq!(choice.key, failing);
 }
 
@@ -88,9 +119,19 @@
     let far = add(&mut servers, "far", "b");
     let mut placing = Placing::new();
     for key in [near, far] {
-        observe(&mut placing, &servers, key, Evidence::Success(at_ms(300)), at_ms(1));
+        observe(
+            &mut placing,
+            &servers,
+            key,
+            Evidence::Success(Pace(100)),
+            at_ms(1),
+        );
     }
-    let chosen = |placing: &Placing| placing.choose(&servers, query(false), at_ms(10), || 0.5).map(|c| c.key);
+    let chosen = |placing: &Placing| {
+        placing
+            .choose(&servers, query(false), at_ms(10), || 0.5)
+            .map(|c| c.key)
+    };
     placing.set_peer_in_flight(near, 3, at_ms(1));
     assert_eq!(chosen(&placing), Some(near));
     placing.set_peer_in_flight(near, 9, at_ms(1));
@@ -104,11 +145,15 @@
     let mut placing = Placing::new();
     placing.set_peer_in_flight(key, 4, at_ms(1));
     observe(&mut placing, &servers, key, Evidence::Shed, at_ms(5));
-    let full = placing.choose(&servers, query(false), at_ms(6), || 0.5).expect("a server");
+    let full = placing
+        .choose(&servers, query(false), at_ms(6), || 0.5)
+        .expect("a server");
     assert!(full.failing < 0.1, "{full:?}");
     placing.set_peer_in_flight(key, 0, at_ms(1));
     observe(&mut placing, &servers, key, Evidence::Shed, at_ms(7));
-    let free = placing.choose(&servers, query(false), at_ms(8), || 0.5).expect("a server");
+    let free = placing
+        .choose(&servers, query(false), at_ms(8), || 0.5)
+        .expect("a server");
     assert!(free.failing > 0.3, "{free:?}");
 }
 
@@ -120,7 +165,9 @@
 {
     let mut random = Pcg64::seed_from_u64(seed);
     let mut servers = Servers::new();
-    let keys: Vec<_> = (0..10).map(|i| add(&mut servers, &format!("s{i}"), "a")).collect();
+    let keys: Vec<_> = (0..10)
+        .map(|i| add(&mut servers, &format!("s{i}"), "a"))
+        .collect();
     let mut placing = Placing::new();
     let mut fails_until = [Duration::ZERO; 10];
     let mut running: Vec<(Duration, ServerKey, bool)> = Vec::new();
@@ -141,7 +188,7 @@
             placing.ended(*key);
             let evidence = match fails {
                 true => Evidence::Failure,
-                false => Evidence::Success(at_ms(300)),
+                false => Evidence::Success(Pace(100)),
             };
             observe(&mut placing, &servers, *key, evidence, now);
             false
@@ -185,7 +232,9 @@
 #[test]
 fn a_service_that_fails_in_part_uses_all_of_its_servers_within_two_seconds() {
     let mut servers = Servers::new();
-    let keys: Vec<_> = (0..6).map(|i| add(&mut servers, &format!("s{i}"), "a")).collect();
+    let keys: Vec<_> = (0..6)
+        .map(|i| add(&mut servers, &format!("s{i}"), "a"))
+        .collect();
     let mut placing = Placing::new();
     for key in &keys {
         observe(&mut placing, &servers, *key, Evidence::Failure, at_ms(1));
@@ -193,13 +242,15 @@
     let mut used = std::collections::HashSet::new();
     for i in 0..76_u64 {
         let now = at_ms(5_000 + i * 26);
-        let choice = placing.choose(&servers, query(false), now, || 0.5).expect("a server");
+        let choice = placing
+            .choose(&servers, query(false), now, || 0.5)
+            .expect("a server");
         used.insert(choice.key);
         placing.started(choice.key, now);
         placing.ended(choice.key);
         let evidence = match i % 9 {
             0 => Evidence::Failure,
-            _ => Evidence::Success(at_ms(160)),
+            _ => Evidence::Success(Pace(100)),
         };
         observe(&mut placing, &servers, choice.key, evidence, now);
     }
--- a/crates/corianderworks_decision/tests/edge_servers.rs
+++ b/crates/corianderworks_decision/tests/edge_servers.rs
@@ -23,7 +23,10 @@
 }
 
 fn accepting(servers: &Servers, now: Duration) -> usize {
-    servers.of_service("ledger").filter(|(_, s)| s.accepts(now)).count()
+    servers
+        .of_service("ledger")
+        .filter(|(_, s)| s.accepts(now))
+        .count()
 }
 
 fn reachable_with(ids: &[&str]) -> Servers {
@@ -40,7 +43,10 @@
         draining: true,
         ..entry("s1")
     };
-    assert!(matches!(servers.upsert(draining, at_ms(1)), Change::Draining(_)));
+    assert!(matches!(
+        servers.upsert(draining, at_ms(1)),
+        Change::Draining(_)
+    ));
     assert_eq!(accepting(&servers, at_ms(1)), 0);
 }
 
@@ -48,7 +54,10 @@
 fn an_entry_that_vanishes_while_the_store_is_stable_is_gone_at_once() {
     let mut servers = reachable_with(&["s1"]);
     let grace = servers.lapse_grace(at_ms(10_000));
-    assert!(matches!(servers.vanish("s1", grace, at_ms(10_000)), Change::Removed(_)));
+    assert!(matches!(
+        servers.vanish("s1", grace, at_ms(10_000)),
+        Change::Removed(_)
+    ));
 }
 
 #[test]
@@ -77,7 +86,10 @@
     servers.set_store_reachable(false, at_ms(1_000));
     servers.set_store_reachable(true, at_ms(2_000));
     let grace = servers.lapse_grace(at_ms(2_001));
-    assert!(matches!(servers.vanish("s1", grace, at_ms(2_001)), Change::Removed(_)));
+    assert!(matches!(
+        servers.vanish("s1", grace, at_ms(2_001)),
+        Change::Removed(_)
+    ));
 }
 
 #[test]
@@ -87,7 +99,10 @@
         started_unix_ms: 2_000,
         ..entry("s1")
     };
-    assert!(matches!(servers.upsert(later.clone(), at_ms(1)), Change::Added(_)));
+    assert!(matches!(
+        servers.upsert(later.clone(), at_ms(1)),
+        Change::Added(_)
+    ));
     assert_eq!(servers.upsert(entry("s1"), at_ms(2)), Change::Unchanged);
     assert!(servers.key_of_tag(later.tag()).is_some());
     assert_eq!(servers.len(), 1);
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -23,9 +23,9 @@
 use crate::state::{Edge, Life};
 use crate::upstream::{Broken, Exchange, Outgoing, Target, UpstreamResponse};
 
-/// Service times after which an attempt counts as overdue. Work varies by its own size:
+/// Usual times of the route after which an attempt counts as overdue. Work varies by its own size:
 /// the longest in 100 take about four times the mean.
-const OVERDUE_SERVICE_TIMES: f64 = 4.0;
+const OVERDUE_USUAL_TIMES: f64 = 4.0;
 /// Shortest time after which an attempt counts as overdue.
 const OVERDUE_MIN: Duration = Duration::from_millis(250);
 /// Time after which a refused caller is asked to return at the earliest.
@@ -316,7 +316,7 @@
             false => Repeatability::NonIdempotent,
         };
         self.edge
-            .choose(&self.plan.service, repeatability, among)
+            .choose(&self.plan.route, &self.plan.service, repeatability, among)
     }
 
     fn left(&self) -> Duration {
@@ -386,8 +386,8 @@
     }
 
     fn overdue_after(&self) -> Duration {
-        let usual = self.edge.service_time(&self.plan.service);
-        usual.mul_f64(OVERDUE_SERVICE_TIMES).max(OVERDUE_MIN)
+        let usual = self.edge.usual_time(&self.plan.route);
+        usual.mul_f64(OVERDUE_USUAL_TIMES).max(OVERDUE_MIN)
     }
 
     fn overdue_at(&self) -> Option<Instant> {
@@ -418,8 +418,12 @@
 
     fn ended(&mut self, ended: Ended) -> Step {
         self.open.retain(|(key, _, _)| *key != ended.key);
-        let (end, evidence, response) = classify(ended.exchange, ended.took);
+        let (end, evidence, response) = classify(ended.exchange);
         self.edge.metrics.attempt(end_name(end), ended.took);
+        let evidence = match end {
+            AttemptEnd::Served => Some(self.edge.learn_time(&self.plan.route, ended.took)),
+            _ => evidence,
+        };
         if let Some(evidence) = evidence {
             self.edge.observe(ended.key, evidence);
         }
@@ -556,11 +560,9 @@
     response.head.status == 421 || response.head.headers.get(headers::NOT_RUN).is_some()
 }
 
-/// Says how an exchange ended, what it says about the server, and the response if usable.
-fn classify(
-    exchange: Exchange,
-    took: Duration,
-) -> (AttemptEnd, Option<Evidence>, Option<UpstreamResponse>) {
+/// Says how an exchange ended, what a failure says about the server, and the response if
+/// it is usable.
+fn classify(exchange: Exchange) -> (AttemptEnd, Option<Evidence>, Option<UpstreamResponse>) {
     let response = match exchange {
         Exchange::Response(response) => response,
         Exchange::NotSent(error) => {
@@ -590,10 +592,6 @@
         200..=299 if !signed || encoded => (AttemptEnd::Unknown, Some(Evidence::Failure), None),
         504 => (AttemptEnd::Failed, Some(Evidence::Overdue), Some(response)),
         500.. => (AttemptEnd::Failed, Some(Evidence::Failure), Some(response)),
-        _ => (
-            AttemptEnd::Served,
-            Some(Evidence::Success(took)),
-            Some(response),
-        ),
+        _ => (AttemptEnd::Served, None, Some(response)),
     }
 }
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -10,7 +10,7 @@
 use corianderworks_decision::edge::fleet::{Fleet, Member};
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
 use corianderworks_decision::edge::placing::{Among, Choice, Evidence, Placing, Query};
-use corianderworks_decision::edge::routes::{Configuration, Repeatability, accept_newer};
+use corianderworks_decision::edge::routes::{Configuration, Repeatability, Route, accept_newer};
 use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::settings::Settings;
@@ -188,6 +188,14 @@
         let (version, routes) = (configuration.version.0, configuration.route_count());
         if accept_newer(&mut beliefs.configuration, configuration) {
             beliefs.configuration_bytes = bytes;
+            let Beliefs {
+                configuration,
+                placing,
+                ..
+            } = &mut *beliefs;
+            if let Some(configuration) = configuration {
+                placing.keep_routes(|name| configuration.has_route(name));
+            }
             tracing::info!(version, before, routes, source, "configuration: in force");
         }
     }
@@ -236,16 +244,18 @@
     /// Chooses a backend server.
     pub fn choose(
         &self,
+        route: &Route,
         service: &str,
         repeatability: Repeatability,
         among: Among<'_>,
     ) -> Option<(Choice, Target)> {
         let now = self.clock.now();
         let mut beliefs = self.beliefs();
-        let may_repeat = repeatability == Repeatability::Idempotent
-            && beliefs.budget.allows(service, now);
+        let may_repeat =
+            repeatability == Repeatability::Idempotent && beliefs.budget.allows(service, now);
         let query = Query {
             service,
+            usual: beliefs.placing.usual_time(route),
             domain: &self.settings.domain,
             may_repeat,
             among,
@@ -278,9 +288,14 @@
         self.news.notify_one();
     }
 
-    /// Returns the mean service time of a service.
-    pub fn service_time(&self, service: &str) -> Duration {
-        self.beliefs().placing.service_time(service)
+    /// Returns the usual time of a response of a route.
+    pub fn usual_time(&self, route: &Route) -> Duration {
+        self.beliefs().placing.usual_time(route)
+    }
+
+    /// Learns how long a response of a route took.
+    pub fn learn_time(&self, route: &Route, took: Duration) -> Evidence {
+        Evidence::Success(self.beliefs().placing.learn_time(route, took))
     }
 
     /// Returns the addresses of daemons for a caller in `domain`.
--- /dev/null
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -0,0 +1,385 @@
+//! An edge daemon on the loopback interface before scripted backend servers.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderworks_decision::clock::SystemClock;
+use corianderworks_decision::edge::budget::BudgetBounds;
+use corianderworks_decision::edge::routes::{
+    CallerLimits, ConfigVersion, Configuration, Repeatability, Route, SplitPart,
+};
+use corianderworks_decision::edge::servers::ServerEntry;
+use corianderworks_edge::caller;
+use corianderworks_edge::metrics::Metrics;
+use corianderworks_edge::state::Edge;
+use corianderworks_platform::settings::Settings;
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Bound on each step of a test; nothing here takes longer than a route's timeout.
+pub const STEP_MAX: Duration = Duration::from_secs(5);
+/// Timeout of the routes.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// What a backend server does with a request.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Responds with this status and body, signed, after a pause.
+    Respond(u16, &'static str, Duration),
+    /// Responds 503 and says that the request did not run.
+    Refuse,
+    /// Responds 421 as another server run.
+    Misdirected,
+    /// Sends these bytes after `{id}` is replaced by the request's id.
+    Raw(&'static str),
+    /// The same, and closes the connection.
+    RawThenClose(&'static str),
+    /// The same, and resets the connection.
+    RawThenReset(&'static str),
+    /// Closes the connection without a response.
+    Close,
+    /// Does not respond.
+    Hang,
+    /// Responds before the body was read, and reads on.
+    Early,
+}
+
+/// Responds 200 at once.
+pub const OK: Action = Action::Respond(200, "done", Duration::ZERO);
+
+/// A request as a backend server received it.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Head as text.
+    pub head: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Number of the connection.
+    pub connection: usize,
+}
+
+impl Arrival {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        header(&self.head, name)
+    }
+}
+
+/// Value of a header in a head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    let pairs = head.lines().filter_map(|l| l.split_once(':'));
+    let mut found = pairs.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+    found.next().map(|(_, v)| v.trim().to_owned())
+}
+
+#[derive(Debug, Default)]
+struct BackendState {
+    actions: Mutex<VecDeque<Action>>,
+    arrivals: Mutex<Vec<Arrival>>,
+    connections: Mutex<usize>,
+    closed_while_hanging: Mutex<usize>,
+}
+
+/// A backend server that follows a script; then it responds 200.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    pub address: SocketAddr,
+    state: Arc<BackendState>,
+}
+
+impl Backend {
+    pub async fn start<I>(actions: I) -> Self
+    where
+        I: IntoIterator<Item = Action>,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(BackendState::default());
+        state.actions.lock().extend(actions);
+        let backend = Self { address, state };
+        let accepting = backend.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = {
+                    let mut count = accepting.state.connections.lock();
+                    *count += 1;
+                    *count
+                };
+                tokio::spawn(accepting.clone().serve(stream, number));
+            }
+        });
+        backend
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.arrivals.lock().clone()
+    }
+
+    pub fn closed_while_hanging(&self) -> usize {
+        *self.state.closed_while_hanging.lock()
+    }
+
+    async fn serve(self, mut stream: TcpStream, connection: usize) {
+        let mut buffer = Vec::new();
+        loop {
+            let Some(head) = read_head(&mut stream, &mut buffer).await else {
+                return;
+            };
+            let action = self.state.actions.lock().pop_front().unwrap_or(OK);
+            let length = header(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            if matches!(action, Action::Early) {
+                let answer = answer(&head, 200, "early");
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            let Some(body) = read_body(&mut stream, &mut buffer, length).await else {
+                return;
+            };
+            let arrival = Arrival {
+                head: head.clone(),
+                body,
+                connection,
+            };
+            self.state.arrivals.lock().push(arrival);
+            if !self.act(&mut stream, action, &head).await {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the connection stays open.
+    async fn act(&self, stream: &mut TcpStream, action: Action, head: &str) -> bool {
+        let id = header(head, "request-id").unwrap_or_default();
+        let (bytes, open) = match action {
+            Action::Early => return true,
+            Action::Respond(status, body, pause) => {
+                tokio::time::sleep(pause).await;
+                (answer(head, status, body), true)
+            }
+            Action::Refuse => {
+                let text = "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+                (text.replace("{id}", &id), true)
+            }
+            Action::Misdirected => {
+                let text = "HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
+                (text.replace("{id}", &id), true)
+            }
+            Action::Raw(text) => (text.replace("{id}", &id), true),
+            Action::RawThenClose(text) => (text.replace("{id}", &id), false),
+            Action::RawThenReset(text) => {
+                let sent = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
+                assert!(sent.is_ok(), "bytes before a reset are sent");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                let zero = Some(Duration::ZERO);
+                socket2::SockRef::from(&*stream).set_linger(zero).expect("a socket option");
+                return false;
+            }
+            Action::Close => return false,
+            Action::Hang => {
+                let mut byte = [0; 1];
+                if !matches!(stream.read(&mut byte).await, Ok(1..)) {
+                    *self.state.closed_while_hanging.lock() += 1;
+                }
+                return false;
+            }
+        };
+        stream.write_all(bytes.as_bytes()).await.is_ok() && open
+    }
+}
+
+fn answer(head: &str, status: u16, body: &str) -> String {
+    let id = header(head, "request-id").unwrap_or_default();
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Status\r\nRequest-Id: {id}\r\nResponse-Signature: s-{status}\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            let rest = buffer.split_off(end + 4);
+            let head = std::mem::replace(buffer, rest);
+            return String::from_utf8(head).ok();
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+async fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> Option<Vec<u8>> {
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let rest = buffer.split_off(length);
+    Some(std::mem::replace(buffer, rest))
+}
+
+/// Settings of a daemon on the loopback interface.
+pub fn settings() -> Settings {
+    let address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    Settings {
+        vm: "vm-1".to_owned(),
+        address: address.ip(),
+        domain: "a".to_owned(),
+        region: "r".to_owned(),
+        callers: address,
+        ready: address,
+        directory: address,
+        peer_port: 0,
+        seeds: Vec::new(),
+        store: address,
+        grace: Duration::from_secs(2),
+        address_keep_max: Duration::from_secs(5),
+        budget: BudgetBounds {
+            ratio: 0.2,
+            extra: 60.0,
+            window: Duration::from_secs(10),
+        },
+    }
+}
+
+/// A configuration with `/read/`, which may repeat, and `/write/`, which may not.
+pub fn configuration(version: u64) -> Configuration {
+    let route = |name: &str, repeatability| Route {
+        name: name.into(),
+        path_prefix: format!("/{name}/"),
+        repeatability,
+        timeout: ROUTE_TIMEOUT,
+        latency_objective: Duration::from_millis(600),
+        priority: 1,
+        attempts_max: 2,
+        split: vec![SplitPart {
+            service: "ledger".into(),
+            weight: 1,
+        }],
+    };
+    let routes = vec![
+        route("read", Repeatability::Idempotent),
+        route("write", Repeatability::NonIdempotent),
+    ];
+    let hosts = [("shop.example".to_owned(), routes)];
+    let limits = CallerLimits {
+        body_bytes: 32 * 1024 * 1024,
+        ..CallerLimits::default()
+    };
+    Configuration::new(ConfigVersion(version), limits, hosts, [])
+}
+
+/// A running daemon.
+pub struct Daemon {
+    pub edge: Arc<Edge>,
+    pub address: SocketAddr,
+}
+
+impl Daemon {
+    /// Starts a daemon that knows no configuration.
+    pub async fn start() -> Self {
+        let metrics = Metrics::new().expect("metrics");
+        let edge = Arc::new(Edge::new(settings(), Arc::new(SystemClock::new()), metrics));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(caller::accept(edge.clone(), listener));
+        Self { edge, address }
+    }
+
+    /// Starts a daemon before backend servers; the first one is preferred.
+    pub async fn before(backends: &[&Backend]) -> Self {
+        let daemon = Self::start().await;
+        daemon.edge.offer_configuration(Arc::new(configuration(1)), None, "test");
+        for (i, backend) in backends.iter().enumerate() {
+            // The domain of the daemon itself is preferred.
+            let domain = if i == 0 { "a" } else { "b" };
+            daemon.add(&format!("s{i}"), backend, domain);
+        }
+        daemon
+    }
+
+    fn add(&self, id: &str, backend: &Backend, domain: &str) {
+        let entry = ServerEntry {
+            id: id.into(),
+            started_unix_ms: 1,
+            service: "ledger".into(),
+            address: backend.address,
+            domain: domain.into(),
+            slots: 4,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        self.edge.apply_entry(entry, "test");
+    }
+
+    /// Opens a connection.
+    pub async fn connect(&self) -> Caller {
+        let stream = TcpStream::connect(self.address).await.expect("a connection");
+        Caller {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Sends one request on a new connection and returns the response.
+    pub async fn ask(&self, request: &str) -> Response {
+        let mut caller = self.connect().await;
+        caller.send(request).await;
+        caller.response().await.expect("a response")
+    }
+}
+
+/// A connection of a caller.
+pub struct Caller {
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// A response as a caller received it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Caller {
+    pub async fn send(&mut self, bytes: &str) {
+        self.stream.write_all(bytes.as_bytes()).await.expect("bytes are sent");
+    }
+
+    /// Returns the next response, or nothing if the connection ends.
+    pub async fn response(&mut self) -> Option<Response> {
+        let read = async {
+            let head = read_head(&mut self.stream, &mut self.buffer).await?;
+            let length = header(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let body = read_body(&mut self.stream, &mut self.buffer, length).await?;
+            let status = head.split(' ').nth(1)?.parse().ok()?;
+            let body = String::from_utf8(body).ok()?;
+            Some(Response { status, head, body })
+        };
+        timeout(STEP_MAX, read).await.expect("an end in time")
+    }
+}
+
+/// A request without a body.
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\r\n")
+}
+
+/// A request with a body.
+pub fn post(path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
