Link up at once after a restart; pass fewer reports between domains

Both relays passed on every report. Ruled out: the store and the configuration, which were there 10 ms after the start. Change: registered daemons are listed first; QUIC assumes 20 ms round trip; the second relay passes on failures and complete reports only; others are gathered for 100 ms.

--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -40,6 +40,15 @@
     pub store: Option<StoreView>,
 }
 
+impl Report {
+    /// Whether the report has evidence of a failure.
+    pub fn tells_of_failures(&self) -> bool {
+        self.evidence
+            .iter()
+            .any(|(_, evidence)| !matches!(evidence, Evidence::Success(_)))
+    }
+}
+
 /// What a daemon that watches the store believes to be there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreView {
--- a/crates/corianderworks_decision/tests/edge_fleet.rs
+++ b/crates/corianderworks_decision/tests/edge_fleet.rs
@@ -33,8 +33,15 @@
 
 /// A fleet as `own` sees it; all are ready and were heard at `at`.
 fn seen_by(own: &str, at: Duration) -> Fleet {
-    let members: Vec<_> = MEMBERS.iter().map(|(vm, domain)| member(vm, domain, 1)).collect();
-    let own = members.iter().find(|m| &*m.vm == own).expect("a member").clone();
+    let members: Vec<_> = MEMBERS
+        .iter()
+        .map(|(vm, domain)| member(vm, domain, 1))
+        .collect();
+    let own = members
+        .iter()
+        .find(|m| &*m.vm == own)
+        .expect("a member")
+        .clone();
     let mut fleet = Fleet::new(own);
     for member in members {
         let key = member.key();
@@ -54,7 +61,11 @@
     let mut watchers = Vec::new();
     for (vm, _) in MEMBERS {
         let fleet = seen_by(vm, at_ms(0));
-        let relays: Vec<_> = fleet.relays("a", now).iter().map(|m| m.vm.to_string()).collect();
+        let relays: Vec<_> = fleet
+            .relays("a", now)
+            .iter()
+            .map(|m| m.vm.to_string())
+            .collect();
         assert_eq!(relays, ["a1", "a2"]);
         if fleet.watches_store(now) {
             watchers.push(vm);
@@ -81,7 +92,11 @@
         fleet.report(member(vm, domain, 1).key(), Standing::Ready, at_ms(1_000));
     }
     let now = at_ms(1_700);
-    let relays: Vec<_> = fleet.relays("a", now).iter().map(|m| m.vm.to_string()).collect();
+    let relays: Vec<_> = fleet
+        .relays("a", now)
+        .iter()
+        .map(|m| m.vm.to_string())
+        .collect();
     assert_eq!(relays, ["a2", "a3"]);
     assert_eq!(fleet.addresses_for("a", true, now).len(), 2);
     assert!(!fleet.is_up(&member("a1", "a", 1), now));
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -242,7 +242,7 @@
 
 enum Step {
     Continue,
-    End(Outcome),
+    End(Box<Outcome>),
 }
 
 impl Run {
@@ -291,7 +291,7 @@
                 biased;
                 Some(ended) = self.attempts.join_next() => match ended {
                     Ok(ended) => if let Step::End(outcome) = self.ended(ended) {
-                        return outcome;
+                        return *outcome;
                     },
                     Err(error) => {
                         tracing::error!(%error, "forward: an attempt failed");
@@ -301,7 +301,7 @@
                 () = sleep_until(self.plan.give_up_at) => return self.timed_out(),
                 () = sleep_until(self.ask_again_at.unwrap_or(self.plan.give_up_at)),
                     if self.ask_again_at.is_some() => if let Step::End(outcome) = self.ask_again() {
-                        return outcome;
+                        return *outcome;
                     },
                 () = sleep_until(overdue_at.unwrap_or(self.plan.give_up_at)),
                     if overdue_at.is_some() => self.overdue(),
@@ -381,7 +381,7 @@
                 self.start(choice, target);
                 Step::Continue
             }
-            _ => Step::End(self.give_up(AttemptEnd::NotRun)),
+            _ => Step::End(Box::new(self.give_up(AttemptEnd::NotRun))),
         }
     }
 
@@ -465,7 +465,7 @@
         };
         let step = next_step(end, state);
         if step == NextStep::Deliver && end == AttemptEnd::Served {
-            return Step::End(self.deliver(Reason::Served));
+            return Step::End(Box::new(self.deliver(Reason::Served)));
         }
         if !self.open.is_empty() {
             return Step::Continue;
@@ -480,7 +480,7 @@
             self.ask_again_at = Some(Instant::now() + ASK_AGAIN_PAUSE);
             return Step::Continue;
         }
-        Step::End(self.give_up(end))
+        Step::End(Box::new(self.give_up(end)))
     }
 
     fn give_up(&mut self, end: AttemptEnd) -> Outcome {
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -9,6 +9,7 @@
 use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, RunKey, Standing};
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
 use corianderworks_decision::edge::placing::Evidence;
+use corianderworks_platform::store::StoreClient;
 use corianderworks_platform::{configuration, daemons};
 use corianderworks_wire::codec;
 use tokio::sync::mpsc;
@@ -19,14 +20,16 @@
 
 /// Pause in which changes are gathered into one report for the own domain.
 const GATHER: Duration = Duration::from_millis(10);
-/// The same for reports that pass to other domains, where bytes cost.
-const GATHER_RELAYED: Duration = Duration::from_millis(40);
+/// The same for reports that pass to other domains, where bytes cost, and for those among
+/// them that tell of failures.
+const GATHER_RELAYED: Duration = Duration::from_millis(100);
+const GATHER_URGENT: Duration = Duration::from_millis(20);
 /// Most reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 12;
 /// Pause between attempts to set up a connection to a peer.
-const LINK_RETRY: Duration = Duration::from_millis(500);
+const LINK_RETRY: Duration = Duration::from_millis(250);
 /// Time that the peer with the lower name has to set up the connection.
-const LINK_PATIENCE: Duration = Duration::from_millis(700);
+const LINK_PATIENCE: Duration = Duration::from_millis(250);
 
 /// Runs until the daemon ends.
 pub async fn run(edge: Arc<Edge>, peers: Arc<Peers>, incoming: mpsc::UnboundedReceiver<Incoming>) {
@@ -124,15 +127,27 @@
         }
     }
 
-    /// Keeps a report for other domains, if this is a relay.
+    /// Keeps a report for other domains, if this is a relay. The second relay stands in for
+    /// the first one, so it passes on only what must not be lost with it.
     fn relay(&mut self, report: Report) {
         let now = self.edge.clock.now();
-        if self.edge.beliefs().fleet.relay_position(now).is_none() {
+        let urgent = report.tells_of_failures();
+        let wanted = match self.edge.beliefs().fleet.relay_position(now) {
+            Some(0) => true,
+            Some(_) => urgent || report.complete,
+            None => false,
+        };
+        if !wanted {
             return;
         }
         self.relayed.push(report);
-        self.relay_due
-            .get_or_insert(Instant::now() + GATHER_RELAYED);
+        let gather = if urgent {
+            GATHER_URGENT
+        } else {
+            GATHER_RELAYED
+        };
+        let due = Instant::now() + gather;
+        self.relay_due = Some(self.relay_due.map_or(due, |at| at.min(due)));
     }
 
     fn pass_on(&mut self) {
@@ -308,17 +323,17 @@
 }
 
 /// Registers this daemon in the store and learns of the others from there.
-pub async fn register(
-    edge: Arc<Edge>,
-    store: Arc<corianderworks_platform::store::StoreClient>,
-    peers: Arc<Peers>,
-) {
+pub async fn register(edge: Arc<Edge>, store: Arc<StoreClient>, peers: Arc<Peers>) {
     let own = edge.beliefs().fleet.own().clone();
     for seed in &edge.settings.seeds {
         if *seed != edge.settings.address {
             peers.link(SocketAddr::new(*seed, edge.settings.peer_port));
         }
     }
+    if !edge.settings.first_start {
+        // Records of earlier runs name the addresses, which seldom change.
+        learn_registered(&edge, &store).await;
+    }
     let mut pause = REGISTER_RETRY_MIN;
     loop {
         match daemons::register(&store, &own).await {
@@ -328,10 +343,18 @@
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(REGISTER_RETRY_MAX);
     }
-    // Daemons that start together see each other only after all have registered.
-    tokio::time::sleep(REGISTER_SETTLE).await;
+    if edge.settings.first_start {
+        // Daemons that start together see each other only after all have registered.
+        tokio::time::sleep(REGISTER_SETTLE).await;
+        learn_registered(&edge, &store).await;
+    }
+}
+
+/// Learns of the registered daemons; tries until the store answers.
+async fn learn_registered(edge: &Edge, store: &StoreClient) {
+    let mut pause = REGISTER_RETRY_MIN;
     loop {
-        match daemons::list(&store).await {
+        match daemons::list(store).await {
             Ok(members) => {
                 let now = edge.clock.now();
                 let mut beliefs = edge.beliefs();
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -29,6 +29,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// A connection without a packet for this long is closed; heartbeats come more often.
 const IDLE_TIMEOUT_MS: u32 = 3_000;
+/// Round-trip time before it is measured. The default for the internet would send the first
+/// packet to a daemon that has just started again only after 1 s.
+const INITIAL_RTT: Duration = Duration::from_millis(20);
 /// Most bytes of a datagram that fit every path.
 pub const DATAGRAM_MAX_BYTES: usize = 1_100;
 /// Most bytes of a configuration in one message.
@@ -364,6 +367,7 @@
 fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
+    transport.initial_rtt(INITIAL_RTT);
     // Probes for larger packets would cost more than they save on small messages.
     transport.mtu_discovery_config(None);
     transport
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -70,7 +70,11 @@
         let arrivals = first.arrivals().len() + second.arrivals().len();
         assert_eq!(arrivals, write_arrivals, "{fault:?}");
         if response.status != 200 && response.status != 500 {
-            assert_eq!(header(&response.head, "response-signature"), None, "{fault:?}");
+            assert_eq!(
+                header(&response.head, "response-signature"),
+                None,
+                "{fault:?}"
+            );
         }
     }
 }
@@ -84,14 +88,25 @@
                    Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
     let response = daemon.ask(request).await;
     assert_eq!((response.status, &*response.body), (200, "done"));
-    assert_eq!(header(&response.head, "response-signature").as_deref(), Some("s-200"));
+    assert_eq!(
+        header(&response.head, "response-signature").as_deref(),
+        Some("s-200")
+    );
     let arrival = backend.arrivals().remove(0);
-    assert!(arrival.head.starts_with("POST /write/a?q=1%20 HTTP/1.1\r\n"));
+    assert!(
+        arrival
+            .head
+            .starts_with("POST /write/a?q=1%20 HTTP/1.1\r\n")
+    );
     assert_eq!(arrival.body, b"abcde");
     assert_eq!(arrival.header("expected-instance").as_deref(), Some("s0"));
     assert_eq!(arrival.header("x-own").as_deref(), Some("kept"));
     assert_eq!(arrival.header("x-hop"), None);
-    let left_ms: u64 = arrival.header("deadline-ms").expect("a deadline").parse().expect("a number");
+    let left_ms: u64 = arrival
+        .header("deadline-ms")
+        .expect("a deadline")
+        .parse()
+        .expect("a number");
     assert!((500..=700).contains(&left_ms), "{left_ms}");
 }
 
@@ -160,7 +175,16 @@
     let daemon = Daemon::before(&[&backend]).await;
     let mut caller = daemon.connect().await;
     let started = Instant::now();
-    caller.send(&[get("/read/1", "a"), get("/read/2", "b"), get("/read/3", "c")].concat()).await;
+    caller
+        .send(
+            &[
+                get("/read/1", "a"),
+                get("/read/2", "b"),
+                get("/read/3", "c"),
+            ]
+            .concat(),
+        )
+        .await;
     for id in ["a", "b", "c"] {
         let response = caller.response().await.expect("a response");
         assert_eq!(header(&response.head, "request-id").as_deref(), Some(id));
@@ -192,7 +216,10 @@
     assert_eq!(response.status, 504);
     let took = started.elapsed();
     // A quarter of a second late costs the caller.
-    assert!(took >= ROUTE_TIMEOUT && took < ROUTE_TIMEOUT + Duration::from_millis(250), "{took:?}");
+    assert!(
+        took >= ROUTE_TIMEOUT && took < ROUTE_TIMEOUT + Duration::from_millis(250),
+        "{took:?}"
+    );
 }
 
 #[tokio::test]
@@ -206,7 +233,11 @@
     assert_eq!(response.status, 503);
     assert!(header(&response.head, "retry-after").is_some());
     // Refused well before the deadline of 3 s and the timeout of 1 s.
-    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+    assert!(
+        started.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        started.elapsed()
+    );
 }
 
 #[tokio::test]
@@ -228,7 +259,10 @@
     let both = "POST /write/x HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3\r\n\
                 Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/x HTTP/1.1\r\n\r\n";
     assert_eq!(daemon.ask(both).await.status, 400);
-    let large = format!("GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX: {}\r\n\r\n", "y".repeat(20_000));
+    let large = format!(
+        "GET /read/x HTTP/1.1\r\nHost: shop.example\r\nX: {}\r\n\r\n",
+        "y".repeat(20_000)
+    );
     assert_eq!(daemon.ask(&large).await.status, 431);
     assert!(backend.arrivals().is_empty());
 }
--- a/crates/corianderworks_edge/tests/stopping.rs
+++ b/crates/corianderworks_edge/tests/stopping.rs
@@ -20,7 +20,10 @@
     daemon.edge.set_life(Life::Stopping(Phase::Accepting));
     let response = caller.response().await.expect("a response");
     assert_eq!((response.status, &*response.body), (200, "slow"));
-    assert_eq!(header(&response.head, "connection").as_deref(), Some("close"));
+    assert_eq!(
+        header(&response.head, "connection").as_deref(),
+        Some("close")
+    );
     assert_eq!(caller.response().await, None);
 }
 
@@ -30,7 +33,16 @@
     let backend = Backend::start([slow(), slow(), slow()]).await;
     let daemon = Daemon::before(&[&backend]).await;
     let mut caller = daemon.connect().await;
-    caller.send(&[get("/read/1", "a"), get("/read/2", "b"), get("/read/3", "c")].concat()).await;
+    caller
+        .send(
+            &[
+                get("/read/1", "a"),
+                get("/read/2", "b"),
+                get("/read/3", "c"),
+            ]
+            .concat(),
+        )
+        .await;
     tokio::time::sleep(Duration::from_millis(50)).await;
     daemon.edge.set_life(Life::Stopping(Phase::Accepting));
     for _ in 0..3 {
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -132,7 +132,9 @@
                 return;
             };
             let action = self.state.actions.lock().pop_front().unwrap_or(OK);
-            let length = header(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let length = header(&head, "content-length")
+                .and_then(|l| l.parse().ok())
+                .unwrap_or(0);
             if matches!(action, Action::Early) {
                 let answer = answer(&head, 200, "early");
                 if stream.write_all(answer.as_bytes()).await.is_err() {
@@ -178,7 +180,9 @@
                 assert!(sent.is_ok(), "bytes before a reset are sent");
                 tokio::time::sleep(Duration::from_millis(50)).await;
                 let zero = Some(Duration::ZERO);
-                socket2::SockRef::from(&*stream).set_linger(zero).expect("a socket option");
+                socket2::SockRef::from(&*stream)
+                    .set_linger(zero)
+                    .expect("a socket option");
                 return false;
             }
             Action::Close => return false,
@@ -239,6 +243,7 @@
         directory: address,
         peer_port: 0,
         seeds: Vec::new(),
+        first_start: true,
         store: address,
         grace: Duration::from_secs(2),
         address_keep_max: Duration::from_secs(5),
@@ -297,7 +302,9 @@
     /// Starts a daemon before backend servers; the first one is preferred.
     pub async fn before(backends: &[&Backend]) -> Self {
         let daemon = Self::start().await;
-        daemon.edge.offer_configuration(Arc::new(configuration(1)), None, "test");
+        daemon
+            .edge
+            .offer_configuration(Arc::new(configuration(1)), None, "test");
         for (i, backend) in backends.iter().enumerate() {
             // The domain of the daemon itself is preferred.
             let domain = if i == 0 { "a" } else { "b" };
@@ -322,7 +329,9 @@
 
     /// Opens a connection.
     pub async fn connect(&self) -> Caller {
-        let stream = TcpStream::connect(self.address).await.expect("a connection");
+        let stream = TcpStream::connect(self.address)
+            .await
+            .expect("a connection");
         Caller {
             stream,
             buffer: Vec::new(),
@@ -353,14 +362,19 @@
 
 impl Caller {
     pub async fn send(&mut self, bytes: &str) {
-        self.stream.write_all(bytes.as_bytes()).await.expect("bytes are sent");
+        self.stream
+            .write_all(bytes.as_bytes())
+            .await
+            .expect("bytes are sent");
     }
 
     /// Returns the next response, or nothing if the connection ends.
     pub async fn response(&mut self) -> Option<Response> {
         let read = async {
             let head = read_head(&mut self.stream, &mut self.buffer).await?;
-            let length = header(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let length = header(&head, "content-length")
+                .and_then(|l| l.parse().ok())
+                .unwrap_or(0);
             let body = read_body(&mut self.stream, &mut self.buffer, length).await?;
             let status = head.split(' ').nth(1)?.parse().ok()?;
             let body = String::from_utf8(body).ok()?;
@@ -372,7 +386,9 @@
 
 /// A request without a body.
 pub fn get(path: &str, id: &str) -> String {
-    format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\r\n")
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\r\n"
+    )
 }
 
 /// A request with a body.
