Test the fleet against a stand-in of the store with faults

Cause: drains, outages, lapses, forged entries and news between daemons had no test without the bench.

--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod store;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
