Keep the budget of repeats over a restart of the whole fleet; leave time at the end of a stop

Four processes of a rolling stop were killed at the end of the grace period: a slow VM needs more than the 3% that was left. Ruled out: late reports; the test with reports that take 50 ms stays within the bound. Change: 0.72 of the bound is spent, 0.22 in the first window after a start, so that the sum stays below the bound; requests in flight are given up after 0.9 of the grace period.

--- a/crates/corianderworks_decision/src/edge/budget.rs
+++ b/crates/corianderworks_decision/src/edge/budget.rs
@@ -4,6 +4,8 @@
 //! would double the load, and no repeat loses requests that another server could run. Each
 //! daemon reports how many requests and repeats it has counted, so that all see the sum
 //! over the fleet; a daemon that does not hear some of the others takes its share only.
+//! A daemon that has just started does not know what was spent before, which may be all if
+//! the whole fleet restarted, so it spends only what the others leave in any case.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -25,7 +27,10 @@
 
 /// Part of the bounds that is spent. The rest covers repeats that daemons start at the same
 /// time, before they hear of each other's.
-const SPENT_PART: f64 = 0.8;
+const SPENT_PART: f64 = 0.72;
+/// The same in the first window after a start. The sum of both parts stays below 1, since a
+/// fleet that restarts as a whole forgets what it has spent.
+const SPENT_PART_WHEN_YOUNG: f64 = 0.22;
 /// Length of a part of the window, in which counts are summed.
 const PART: Duration = Duration::from_millis(250);
 
@@ -106,6 +111,7 @@
 #[derive(Debug)]
 pub struct Budget {
     bounds: BudgetBounds,
+    started_at: Duration,
     /// Part of the fleet that this daemon hears, itself included.
     heard_part: f64,
     windows: HashMap<ServiceTag, Window>,
@@ -113,10 +119,11 @@
 }
 
 impl Budget {
-    /// Creates the budget of a daemon that knows no other.
-    pub fn new(bounds: BudgetBounds) -> Self {
+    /// Creates the budget of a daemon that knows no other and starts at `started_at`.
+    pub fn new(bounds: BudgetBounds, started_at: Duration) -> Self {
         Self {
             bounds,
+            started_at,
             heard_part: 1.0,
             windows: HashMap::new(),
             others: HashMap::new(),
@@ -144,7 +151,13 @@
         let window = self.windows.entry(ServiceTag::of(service)).or_default();
         let sum = sum(&mut window.parts, bounds.window, now);
         let allowed = bounds.ratio * f64::from(sum.requests) + bounds.extra * part;
-        f64::from(sum.repeats) + 1.0 <= SPENT_PART * allowed
+        let is_young = now.saturating_sub(self.started_at) < bounds.window;
+        let spent_part = if is_young {
+            SPENT_PART_WHEN_YOUNG
+        } else {
+            SPENT_PART
+        };
+        f64::from(sum.repeats) + 1.0 <= spent_part * allowed
     }
 
     /// Takes an attempt beyond the first. Returns whether the budget allows it.
--- a/crates/corianderworks_decision/src/edge/shutdown.rs
+++ b/crates/corianderworks_decision/src/edge/shutdown.rs
@@ -7,8 +7,9 @@
 
 /// Part of the grace period for which new connections are accepted.
 const ACCEPT_PART: f64 = 0.4;
-/// Part of the grace period after which requests still in flight are given up.
-const GIVE_UP_PART: f64 = 0.97;
+/// Part of the grace period after which requests still in flight are given up; the rest is
+/// for a VM that runs slowly.
+const GIVE_UP_PART: f64 = 0.9;
 
 /// What a stopping daemon does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/corianderworks_decision/tests/edge_budget.rs
+++ b/crates/corianderworks_decision/tests/edge_budget.rs
@@ -21,21 +21,46 @@
 where
     F: Fn(usize, usize) -> bool,
 {
-    let mut fleet: Vec<_> = (0..daemons).map(|_| Budget::new(BOUNDS)).collect();
+    play_with_restart(daemons, delay, None, Duration::ZERO, heard)
+}
+
+fn play_with_restart<F>(
+    daemons: usize,
+    delay: Duration,
+    restart: Option<Duration>,
+    fails_from: Duration,
+    heard: F,
+) -> (f64, f64)
+where
+    F: Fn(usize, usize) -> bool,
+{
+    let start = |now| {
+        (0..daemons)
+            .map(|_| Budget::new(BOUNDS, now))
+            .collect::<Vec<_>>()
+    };
+    // The fleet has run for longer than a window before the first request.
+    let mut fleet = start(at_ms(0));
+    let mut run = 0;
     for (i, budget) in fleet.iter_mut().enumerate() {
         let count = (0..daemons).filter(|j| *j == i || heard(i, *j)).count();
         budget.set_heard(count, daemons);
     }
     let mut mail = Vec::new();
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
-    for ms in (0..40_000).step_by(10) {
+    for ms in (10_000..50_000).step_by(10) {
         let now = at_ms(ms);
+        if restart == Some(now) {
+            fleet = start(now);
+            run = daemons;
+            mail.clear();
+        }
         let turn = (ms / 10) as usize % daemons;
         for _ in 0..2 {
             fleet[turn].request("ledger", now);
             requests.push(now);
             for _ in 0..2 {
-                if fleet[turn].take("ledger", now) {
+                if now >= fails_from && fleet[turn].take("ledger", now) {
                     repeats.push(now);
                 }
             }
@@ -50,7 +75,7 @@
         mail.retain(|m| m.0 > now);
         for (_, from, tag, counts) in due {
             for to in (0..daemons).filter(|to| *to != from && heard(*to, from)) {
-                fleet[to].hear(RunKey(from as u32), tag, counts, now);
+                fleet[to].hear(RunKey((run + from) as u32), tag, counts, now);
             }
         }
     }
@@ -60,12 +85,12 @@
             .filter(|t| **t > end.saturating_sub(BOUNDS.window) && **t <= end)
             .count() as f64
     };
-    let ends: Vec<_> = (10_000..40_000).step_by(100).map(at_ms).collect();
+    let ends: Vec<_> = (20_000..50_000).step_by(100).map(at_ms).collect();
     let most = ends
         .iter()
         .map(|e| in_window(&repeats, *e))
         .fold(0.0, f64::max);
-    (most, in_window(&requests, at_ms(30_000)))
+    (most, in_window(&requests, at_ms(40_000)))
 }
 
 #[test]
@@ -84,3 +109,19 @@
         assert!(repeats <= bound, "{parts} parts: {repeats} of {bound}");
     }
 }
+
+#[test]
+fn a_fleet_that_restarts_as_a_whole_does_not_spend_its_budget_twice() {
+    for restart_ms in [25_000, 32_500, 40_000] {
+        // Failures that begin shortly before put all repeats next to the restart.
+        for fails_for_ms in [restart_ms, 9_000, 4_000, 2_000] {
+            let (restart, fails_from) = (at_ms(restart_ms), at_ms(restart_ms - fails_for_ms));
+            let all = |_, _| true;
+            let (repeats, requests) =
+                play_with_restart(40, at_ms(50), Some(restart), fails_from, all);
+            let bound = BOUNDS.ratio * requests + BOUNDS.extra;
+            let when = format!("restart at {restart_ms} ms, failures for {fails_for_ms} ms");
+            assert!(repeats <= bound, "{when}: {repeats} of {bound}");
+        }
+    }
+}
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -115,7 +115,7 @@
 impl Edge {
     /// Creates the state of a daemon.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
-        let budget = Budget::new(settings.budget);
+        let budget = Budget::new(settings.budget, clock.now());
         let beliefs = Beliefs {
             configuration: None,
             servers: Servers::new(),
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -58,7 +58,10 @@
 {
     let ends = tokio::time::Instant::now() + within;
     while !holds() {
-        assert!(tokio::time::Instant::now() < ends, "not within {within:?}: {what}");
+        assert!(
+            tokio::time::Instant::now() < ends,
+            "not within {within:?}: {what}"
+        );
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
@@ -69,14 +72,23 @@
 
 fn accepting(edge: &Edge) -> usize {
     let now = edge.clock.now();
-    edge.beliefs().servers.of_service("ledger").filter(|(_, s)| s.accepts(now)).count()
+    edge.beliefs()
+        .servers
+        .of_service("ledger")
+        .filter(|(_, s)| s.accepts(now))
+        .count()
 }
 
 async fn store_with(servers: &[&str]) -> Store {
     let store = Store::start().await;
     store.put("config", "main", configuration(3), Value::Null);
     for (i, id) in servers.iter().enumerate() {
-        store.put("servers", id, entry(&format!("10.0.0.{i}:80")), state("ready"));
+        store.put(
+            "servers",
+            id,
+            entry(&format!("10.0.0.{i}:80")),
+            state("ready"),
+        );
     }
     store
 }
@@ -94,9 +106,15 @@
         fleet.push(start(port, last, domain, store.address).await);
     }
     let all = |holds: &dyn Fn(&Edge) -> bool| fleet.iter().all(|e| holds(e));
-    eventually(IN_FORCE_MAX, "first state", || all(&|e| version(e) == 3 && accepting(e) == 2)).await;
+    eventually(IN_FORCE_MAX, "first state", || {
+        all(&|e| version(e) == 3 && accepting(e) == 2)
+    })
+    .await;
     let size = |e: &Edge| e.beliefs().fleet.size(e.clock.now());
-    eventually(Duration::from_secs(4), "membership", || all(&|e| size(e) == 6)).await;
+    eventually(Duration::from_secs(4), "membership", || {
+        all(&|e| size(e) == 6)
+    })
+    .await;
     store.put("servers", "s1", entry("10.0.0.0:80"), state("draining"));
     eventually(IN_FORCE_MAX, "drain", || all(&|e| accepting(e) == 1)).await;
     store.put("config", "main", configuration(9), Value::Null);
@@ -120,9 +138,15 @@
     let first = start(port, 2, "a", store.address).await;
     eventually(IN_FORCE_MAX, "first daemon", || version(&first) == 3).await;
     let second = start(port, 3, "a", refusing.address).await;
-    eventually(IN_FORCE_MAX, "whole state from a peer", || version(&second) == 3 && accepting(&second) == 1).await;
+    eventually(IN_FORCE_MAX, "whole state from a peer", || {
+        version(&second) == 3 && accepting(&second) == 1
+    })
+    .await;
     store.put("servers", "s1", entry("10.0.0.0:80"), state("draining"));
-    eventually(IN_FORCE_MAX, "drain from a peer", || accepting(&second) == 0).await;
+    eventually(IN_FORCE_MAX, "drain from a peer", || {
+        accepting(&second) == 0
+    })
+    .await;
 }
 
 #[tokio::test]
@@ -177,10 +201,16 @@
     let edge = start(port(), 2, "a", store.address).await;
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     store.set_mood(Mood::Answers);
-    eventually(Duration::from_secs(5), "first state", || version(&edge) == 3).await;
+    eventually(Duration::from_secs(5), "first state", || {
+        version(&edge) == 3
+    })
+    .await;
     let second = start(edge.settings.peer_port, 3, "a", store.address).await;
     let size = |e: &Edge| e.beliefs().fleet.size(e.clock.now());
-    eventually(Duration::from_secs(4), "membership", || size(&second) == 2 && size(&edge) == 2).await;
+    eventually(Duration::from_secs(4), "membership", || {
+        size(&second) == 2 && size(&edge) == 2
+    })
+    .await;
 }
 
 #[tokio::test]
@@ -192,13 +222,18 @@
         fleet.push(start(port, last, domain, store.address).await);
     }
     let size = |e: &Edge| e.beliefs().fleet.size(e.clock.now());
-    eventually(Duration::from_secs(5), "membership", || fleet.iter().all(|e| size(e) == 4)).await;
+    eventually(Duration::from_secs(5), "membership", || {
+        fleet.iter().all(|e| size(e) == 4)
+    })
+    .await;
     let failing = fleet[0].beliefs().servers.key_of("s1").expect("a server");
     fleet[0].observe(failing, Evidence::Failure);
     fleet[0].observe(failing, Evidence::Failure);
     let chosen = |e: &Edge| {
         let configuration = e.configuration().expect("a configuration");
-        let route = configuration.route("shop.example", "/read/x").expect("a route");
+        let route = configuration
+            .route("shop.example", "/read/x")
+            .expect("a route");
         let once = Repeatability::NonIdempotent;
         let chosen = e.choose(route, "ledger", once, Among::AllBut(&[]));
         chosen.expect("a server").1.id.to_string()
--- a/crates/corianderworks_edge/tests/support/store.rs
+++ b/crates/corianderworks_edge/tests/support/store.rs
@@ -67,7 +67,8 @@
                 let store = accepting.clone();
                 tokio::spawn(async move {
                     let service = service_fn(|request| store.clone().call(request));
-                    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                    let connection =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                     // A connection that the client gave up needs no report.
                     let _ = connection.await;
                 });
@@ -94,8 +95,14 @@
                          "finalizers": [], "deleting": false},
             "spec": spec, "status": status,
         });
-        content.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
-        content.events.push((revision, kind.to_owned(), json!({"object": object, "deleted": false})));
+        content
+            .objects
+            .insert((kind.to_owned(), name.to_owned()), object.clone());
+        content.events.push((
+            revision,
+            kind.to_owned(),
+            json!({"object": object, "deleted": false}),
+        ));
         drop(content);
         self.changed.send_replace(revision);
     }
@@ -107,7 +114,11 @@
         };
         content.revision += 1;
         let revision = content.revision;
-        content.events.push((revision, kind.to_owned(), json!({"object": object, "deleted": true})));
+        content.events.push((
+            revision,
+            kind.to_owned(),
+            json!({"object": object, "deleted": true}),
+        ));
         drop(content);
         self.changed.send_replace(revision);
     }
@@ -142,8 +153,14 @@
     }
 
     async fn done(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let path = request.uri().path().trim_start_matches("/v1/objects/").to_owned();
-        let (kind, name) = path.split_once('/').map_or((path.as_str(), None), |(k, n)| (k, Some(n)));
+        let path = request
+            .uri()
+            .path()
+            .trim_start_matches("/v1/objects/")
+            .to_owned();
+        let (kind, name) = path
+            .split_once('/')
+            .map_or((path.as_str(), None), |(k, n)| (k, Some(n)));
         let query = request.uri().query().unwrap_or_default().to_owned();
         let number = |field: &str| -> Option<u64> {
             let pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -163,10 +180,23 @@
                 };
                 let body: Value = serde_json::from_slice(&body.to_bytes()).expect("JSON");
                 let posted = name.is_none();
-                let name = name.unwrap_or_else(|| body["metadata"]["name"].as_str().expect("a name").to_owned());
-                let exists = self.content.lock().objects.contains_key(&(kind.clone(), name.clone()));
+                let name = name.unwrap_or_else(|| {
+                    body["metadata"]["name"]
+                        .as_str()
+                        .expect("a name")
+                        .to_owned()
+                });
+                let exists = self
+                    .content
+                    .lock()
+                    .objects
+                    .contains_key(&(kind.clone(), name.clone()));
                 if posted == exists {
-                    let status = if posted { StatusCode::CONFLICT } else { StatusCode::NOT_FOUND };
+                    let status = if posted {
+                        StatusCode::CONFLICT
+                    } else {
+                        StatusCode::NOT_FOUND
+                    };
                     return answer(status, &Value::Null);
                 }
                 self.put(&kind, &name, body["spec"].clone(), Value::Null);
@@ -178,8 +208,16 @@
 
     fn list(&self, kind: &str) -> Response<Full<Bytes>> {
         let content = self.content.lock();
-        let items: Vec<_> = content.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, o)| o).collect();
-        answer(StatusCode::OK, &json!({"items": items, "morePages": false, "currentRev": content.revision}))
+        let items: Vec<_> = content
+            .objects
+            .iter()
+            .filter(|((k, _), _)| k == kind)
+            .map(|(_, o)| o)
+            .collect();
+        answer(
+            StatusCode::OK,
+            &json!({"items": items, "morePages": false, "currentRev": content.revision}),
+        )
     }
 
     async fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> Response<Full<Bytes>> {
@@ -199,7 +237,10 @@
                     .map(|(_, _, e)| e)
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= ends {
-                    return answer(StatusCode::OK, &json!({"events": events, "currentRev": content.revision}));
+                    return answer(
+                        StatusCode::OK,
+                        &json!({"events": events, "currentRev": content.revision}),
+                    );
                 }
             }
             tokio::select! {
