--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod peers;
 pub mod reason;
 pub mod reply;
+mod run;
 pub mod state;
 pub mod upstream;
--- /dev/null
+++ b/crates/corianderworks_edge/src/run.rs
@@ -0,0 +1,424 @@
+//! Attempts of one request at backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corianderworks_decision::edge::admission::{Admission, admit, retry_after};
+use corianderworks_decision::edge::attempts::{
+    ASK_AGAIN_PAUSE, AttemptEnd, AttemptState, NextStep, next_step,
+};
+use corianderworks_decision::edge::placing::{Among, Choice, Evidence};
+use corianderworks_decision::edge::routes::Repeatability;
+use corianderworks_decision::edge::servers::ServerKey;
+use corianderworks_platform::headers;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use crate::forward::{CallerRequest, Outcome, Plan, RETRY_AFTER_BASE, spread};
+use crate::reason::Reason;
+use crate::reply::Reply;
+use crate::state::Edge;
+use crate::upstream::{Broken, Exchange, Outgoing, Target, UpstreamResponse};
+
+/// Usual times of the route after which an attempt counts as overdue. Work varies by its own size:
+/// the longest in 100 take about four times the mean.
+const OVERDUE_USUAL_TIMES: f64 = 4.0;
+/// Shortest time after which an attempt counts as overdue.
+const OVERDUE_MIN: Duration = Duration::from_millis(250);
+/// An attempt that ended.
+struct Ended {
+    key: ServerKey,
+    target: Target,
+    exchange: Exchange,
+    took: Duration,
+}
+
+/// Attempts of one request.
+pub(crate) struct Run {
+    edge: Arc<Edge>,
+    plan: Plan,
+    outgoing: Arc<Outgoing>,
+    tried: Vec<ServerKey>,
+    open: Vec<(ServerKey, Instant, bool)>,
+    /// Servers that refused the request and have not run it.
+    refused: Vec<ServerKey>,
+    /// Number of servers that the request was sent to.
+    sent: u32,
+    refusals: u32,
+    connects_failed: u32,
+    /// When a server that refused is asked again.
+    ask_again_at: Option<Instant>,
+    attempts: JoinSet<Ended>,
+    last_response: Option<UpstreamResponse>,
+    last_end: Option<AttemptEnd>,
+    /// Whether any attempt may have run.
+    may_have_run: bool,
+    trail: Vec<String>,
+}
+
+enum Step {
+    Continue,
+    End(Box<Outcome>),
+}
+
+impl Run {
+    pub(crate) fn new(edge: Arc<Edge>, plan: Plan, request: CallerRequest) -> Self {
+        let outgoing = Outgoing {
+            request_id: request.request_id(),
+            head: request.head,
+            body: request.body,
+            repeatability: plan.route.repeatability,
+        };
+        Self {
+            edge,
+            plan,
+            outgoing: Arc::new(outgoing),
+            tried: Vec::new(),
+            open: Vec::new(),
+            refused: Vec::new(),
+            sent: 0,
+            refusals: 0,
+            connects_failed: 0,
+            ask_again_at: None,
+            attempts: JoinSet::new(),
+            last_response: None,
+            last_end: None,
+            may_have_run: false,
+            trail: Vec::new(),
+        }
+    }
+
+    /// Admits the request and runs attempts until it ends.
+    pub(crate) async fn run(&mut self) -> Outcome {
+        let first = self.choose(Among::AllBut(&[]));
+        let left = self.left();
+        match admit(first.as_ref().map(|(choice, _)| choice), left, spread()) {
+            Admission::Admit => {}
+            Admission::Refuse { retry_after } => {
+                let reason = first.map_or(Reason::NoServer, |_| Reason::NoCapacity);
+                return self.refuse(reason, retry_after);
+            }
+        }
+        if let Some((choice, target)) = first {
+            self.start(choice, target);
+        }
+        loop {
+            let overdue_at = self.overdue_at();
+            tokio::select! {
+                biased;
+                Some(ended) = self.attempts.join_next() => match ended {
+                    Ok(ended) => if let Step::End(outcome) = self.ended(ended) {
+                        return *outcome;
+                    },
+                    Err(error) => {
+                        tracing::error!(%error, "forward: an attempt failed");
+                        return self.fail(Reason::NoResponse);
+                    }
+                },
+                () = sleep_until(self.plan.give_up_at) => return self.timed_out(),
+                () = sleep_until(self.ask_again_at.unwrap_or(self.plan.give_up_at)),
+                    if self.ask_again_at.is_some() => if let Step::End(outcome) = self.ask_again() {
+                        return *outcome;
+                    },
+                () = sleep_until(overdue_at.unwrap_or(self.plan.give_up_at)),
+                    if overdue_at.is_some() => self.overdue(),
+            }
+        }
+    }
+
+    /// Where the request goes.
+    pub(crate) fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// What was tried and how it ended, for the log.
+    pub(crate) fn trail(&self) -> String {
+        self.trail.join(" ")
+    }
+
+    fn choose(&self, among: Among<'_>) -> Option<(Choice, Target)> {
+        let repeatability = match self.sent + 1 < self.plan.route.attempts_max {
+            true => self.plan.route.repeatability,
+            // The last attempt can't be repeated either.
+            false => Repeatability::NonIdempotent,
+        };
+        self.edge
+            .choose(&self.plan.route, &self.plan.service, repeatability, among)
+    }
+
+    fn left(&self) -> Duration {
+        self.plan
+            .give_up_at
+            .saturating_duration_since(Instant::now())
+    }
+
+    fn start(&mut self, choice: Choice, target: Target) {
+        let guard = self.edge.start_attempt(choice.key);
+        let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
+        let left = self.left();
+        let started = Instant::now();
+        if !self.tried.contains(&choice.key) {
+            self.tried.push(choice.key);
+            self.sent += 1;
+        }
+        self.refused.retain(|key| *key != choice.key);
+        self.open.push((choice.key, started, false));
+        self.trail.push(format!(
+            "{}(busy {}, failing {:.2}, expected {} ms)",
+            target.id,
+            choice.in_flight,
+            choice.failing,
+            choice.expected.as_millis()
+        ));
+        self.attempts.spawn(async move {
+            let exchange = edge.pool.exchange(&outgoing, &target, left).await;
+            drop(guard);
+            Ended {
+                key: choice.key,
+                target,
+                exchange,
+                took: started.elapsed(),
+            }
+        });
+    }
+
+    /// Starts another attempt if a server is there and the budget allows it.
+    fn try_another(&mut self, free: bool) -> bool {
+        let Some((choice, target)) = self.choose(Among::AllBut(&self.tried)) else {
+            return false;
+        };
+        let now = self.edge.clock.now();
+        if !free && !self.edge.beliefs().budget.take(&self.plan.service, now) {
+            self.trail
+                .push("(no budget for another attempt)".to_owned());
+            return false;
+        }
+        self.start(choice, target);
+        true
+    }
+
+    /// Asks a server again that refused the request.
+    fn ask_again(&mut self) -> Step {
+        self.ask_again_at = None;
+        let now = self.edge.clock.now();
+        let chosen = self.choose(Among::Only(&self.refused));
+        let allowed = |service: &str| self.edge.beliefs().budget.take(service, now);
+        match chosen {
+            Some((choice, target)) if allowed(&self.plan.service) => {
+                self.start(choice, target);
+                Step::Continue
+            }
+            _ => Step::End(Box::new(self.give_up(AttemptEnd::NotRun))),
+        }
+    }
+
+    fn overdue_after(&self) -> Duration {
+        let usual = self.edge.usual_time(&self.plan.route);
+        usual.mul_f64(OVERDUE_USUAL_TIMES).max(OVERDUE_MIN)
+    }
+
+    fn overdue_at(&self) -> Option<Instant> {
+        let after = self.overdue_after();
+        let open = self.open.iter().filter(|(_, _, reported)| !reported);
+        open.map(|(_, started, _)| *started + after).min()
+    }
+
+    /// Reports attempts that take far longer than usual, and tries another server if the
+    /// request may run twice.
+    fn overdue(&mut self) {
+        let (now, after) = (Instant::now(), self.overdue_after());
+        let mut any = false;
+        for (key, started, reported) in &mut self.open {
+            if !*reported && now >= *started + after {
+                *reported = true;
+                any = true;
+                self.edge.observe(*key, Evidence::Overdue);
+            }
+        }
+        let idempotent = self.plan.route.repeatability == Repeatability::Idempotent;
+        let may_send = self.sent < self.plan.route.attempts_max && self.open.len() < 2;
+        if any && idempotent && may_send {
+            self.trail.push("(overdue)".to_owned());
+            self.try_another(false);
+        }
+    }
+
+    fn ended(&mut self, ended: Ended) -> Step {
+        self.open.retain(|(key, _, _)| *key != ended.key);
+        let (end, evidence, response) = classify(ended.exchange);
+        self.edge.metrics.attempt(end_name(end), ended.took);
+        let evidence = match end {
+            AttemptEnd::Served => Some(self.edge.learn_time(&self.plan.route, ended.took)),
+            _ => evidence,
+        };
+        if let Some(evidence) = evidence {
+            self.edge.observe(ended.key, evidence);
+        }
+        if end != AttemptEnd::Served {
+            let status = response.as_ref().map(|r| r.head.status);
+            self.trail
+                .push(format!("{}:{}", end_name(end), status.unwrap_or_default()));
+            tracing::debug!(
+                server = &*ended.target.id,
+                ?end,
+                status,
+                "forward: attempt failed"
+            );
+        }
+        if end == AttemptEnd::NotSent {
+            self.sent -= 1;
+            self.connects_failed += 1;
+        }
+        if end == AttemptEnd::NotRun {
+            self.refusals += 1;
+            self.refused.push(ended.key);
+        }
+        self.may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown);
+        if response.is_some() && end != AttemptEnd::Unknown {
+            self.last_response = response;
+        }
+        self.last_end = Some(end);
+        self.next(end)
+    }
+
+    fn next(&mut self, end: AttemptEnd) -> Step {
+        let state = AttemptState {
+            repeatability: self.plan.route.repeatability,
+            sent: self.sent,
+            attempts_max: self.plan.route.attempts_max,
+            refusals: self.refusals,
+            connects_failed: self.connects_failed,
+            left: self.left(),
+        };
+        let step = next_step(end, state);
+        if step == NextStep::Deliver && end == AttemptEnd::Served {
+            return Step::End(Box::new(self.deliver(Reason::Served)));
+        }
+        if !self.open.is_empty() {
+            return Step::Continue;
+        }
+        // A connection that failed put no load on a backend server.
+        let free = end == AttemptEnd::NotSent;
+        if step == NextStep::TryAnother && self.try_another(free) {
+            return Step::Continue;
+        }
+        let no_other = step == NextStep::TryAnother && end == AttemptEnd::NotRun;
+        if step == NextStep::AskAgain || no_other {
+            self.ask_again_at = Some(Instant::now() + ASK_AGAIN_PAUSE);
+            return Step::Continue;
+        }
+        Step::End(Box::new(self.give_up(end)))
+    }
+
+    fn give_up(&mut self, end: AttemptEnd) -> Outcome {
+        let response_ran = |r: &UpstreamResponse| !is_not_run(r);
+        if self.may_have_run && self.last_response.as_ref().is_some_and(response_ran) {
+            return self.deliver(Reason::ServerFailed);
+        }
+        if self.may_have_run {
+            return self.fail(Reason::NoResponse);
+        }
+        let reason = match end {
+            AttemptEnd::NotSent => Reason::Unreachable,
+            _ => Reason::ServersFull,
+        };
+        self.refuse(reason, retry_after(RETRY_AFTER_BASE, spread()))
+    }
+
+    fn timed_out(&mut self) -> Outcome {
+        for (key, started, reported) in std::mem::take(&mut self.open) {
+            // An attempt that started late says nothing about its server.
+            if !reported && started.elapsed() >= self.overdue_after() / 2 {
+                self.edge.observe(key, Evidence::Overdue);
+            }
+        }
+        self.fail(Reason::TimedOut)
+    }
+
+    fn deliver(&mut self, reason: Reason) -> Outcome {
+        let once = self.plan.route.repeatability == Repeatability::NonIdempotent;
+        match self.last_response.take() {
+            // This status would tell the caller that the request did not run.
+            Some(r) if once && !is_not_run(&r) && promises_not_run(r.head.status) => {
+                self.fail(Reason::NoResponse)
+            }
+            Some(response) => Outcome {
+                reason,
+                reply: Reply::Upstream {
+                    response,
+                    method: self.outgoing.head.method.clone(),
+                },
+            },
+            None => self.fail(Reason::NoResponse),
+        }
+    }
+
+    fn refuse(&self, reason: Reason, retry_after: Duration) -> Outcome {
+        let reply = Reply::Own {
+            reason,
+            retry_after: Some(retry_after),
+            request_id: self.outgoing.request_id.clone(),
+        };
+        Outcome { reason, reply }
+    }
+
+    fn fail(&self, reason: Reason) -> Outcome {
+        let reply = Reply::own(reason, self.outgoing.request_id.clone());
+        Outcome { reason, reply }
+    }
+}
+
+fn end_name(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Served => "served",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::NotRun => "not-run",
+        AttemptEnd::NotSent => "not-sent",
+        AttemptEnd::Unknown => "unknown",
+    }
+}
+
+/// Whether a status tells the caller that the request did not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+fn is_not_run(response: &UpstreamResponse) -> bool {
+    response.head.status == 421 || response.head.headers.get(headers::NOT_RUN).is_some()
+}
+
+/// Says how an exchange ended, what a failure says about the server, and the response if
+/// it is usable.
+fn classify(exchange: Exchange) -> (AttemptEnd, Option<Evidence>, Option<UpstreamResponse>) {
+    let response = match exchange {
+        Exchange::Response(response) => response,
+        Exchange::NotSent(error) => {
+            tracing::debug!(%error, "forward: connection failed");
+            return (AttemptEnd::NotSent, Some(Evidence::Unreachable), None);
+        }
+        Exchange::Unknown(broken) => {
+            tracing::debug!(error = %broken, "forward: no usable response");
+            let evidence = match broken {
+                Broken::KeptConnectionClosed => None,
+                _ => Some(Evidence::Failure),
+            };
+            return (AttemptEnd::Unknown, evidence, None);
+        }
+    };
+    let status = response.head.status;
+    let signed = response.head.headers.get(headers::SIGNATURE).is_some();
+    let encoded = response.head.headers.get("content-encoding").is_some();
+    if is_not_run(&response) {
+        let evidence = match status {
+            421 => Evidence::Misdirected,
+            _ => Evidence::Shed,
+        };
+        return (AttemptEnd::NotRun, Some(evidence), Some(response));
+    }
+    match status {
+        200..=299 if !signed || encoded => (AttemptEnd::Unknown, Some(Evidence::Failure), None),
+        504 => (AttemptEnd::Failed, Some(Evidence::Overdue), Some(response)),
+        500.. => (AttemptEnd::Failed, Some(Evidence::Failure), Some(response)),
+        _ => (AttemptEnd::Served, None, Some(response)),
+    }
+}
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -347,6 +347,7 @@
         Change::Draining(key) => ("draining", *key),
         Change::Lapsed(key) => ("lapsed", *key),
         Change::Removed(key) => {
+            tracing::info!(server = ?key, source, "servers: removed");
             beliefs.placing.forget(*key);
             return;
         }
