Use idle servers earlier when a service begins to fail

Placing keeps to servers that have just answered; the limit of a tenth was reached as the 2 s ended. Change: spreading begins at 0.07 of failed attempts; a test plays the burst, and passes with the old limit too, so it does not show the fault.

--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -53,8 +53,9 @@
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
 /// Share of failed attempts at which a service uses all of its servers. More than a tenth
-/// of the requests may fail only while most sound servers are in use.
-const SPREAD_FAILED_SHARE: f64 = 0.1;
+/// of the requests may fail within 2 s only while most sound servers are in use in these
+/// 2 s, so the use has to begin while the share is still rising.
+const SPREAD_FAILED_SHARE: f64 = 0.07;
 /// Time in which an outcome loses 63% of its weight in that share.
 const SPREAD_DECAY: Duration = Duration::from_millis(2_000);
 /// Time without a request after which a server is tried again then. All have to be used
--- a/crates/corianderworks_decision/tests/edge_placing.rs
+++ b/crates/corianderworks_decision/tests/edge_placing.rs
@@ -256,3 +256,42 @@
     }
     assert_eq!(used.len(), keys.len());
 }
+
+#[test]
+fn a_burst_of_failures_brings_idle_servers_into_use_before_its_two_seconds_end() {
+    let mut servers = Servers::new();
+    let keys: Vec<_> = (0..6)
+        .map(|i| add(&mut servers, &format!("s{i}"), "a"))
+        .collect();
+    let mut placing = Placing::new();
+    for key in &keys {
+        observe(
+            &mut placing,
+            &servers,
+            *key,
+            Evidence::Success(Pace(100)),
+            at_ms(1),
+        );
+    }
+    let mut used = std::collections::HashSet::new();
+    // 81 requests in 2 s, 9 of which fail in a row, after seconds without a failure.
+    for i in 0..324_u64 {
+        let now = at_ms(5_000 + i * 25);
+        let choice = placing
+            .choose(&servers, query(false), now, || 0.5)
+            .expect("a server");
+        placing.started(choice.key, now);
+        placing.ended(choice.key);
+        let fails = (260..269).contains(&i);
+        let evidence = match fails {
+            true => Evidence::Failure,
+            false => Evidence::Success(Pace(100)),
+        };
+        observe(&mut placing, &servers, choice.key, evidence, now);
+        if (244..324).contains(&i) {
+            used.insert(choice.key);
+        }
+    }
+    // At least 70% of the sound servers: 5 of 6.
+    assert!(used.len() >= 5, "{} of 6 used", used.len());
+}
