--- a/crates/corianderworks_edge/src/feed.rs
+++ b/crates/corianderworks_edge/src/feed.rs
@@ -278,15 +278,7 @@
         if messages.is_empty() || !self.is_watcher() {
             return;
         }
-        let now = self.edge.clock.now();
-        let neighbours: Vec<_> = self
-            .edge
-            .beliefs()
-            .fleet
-            .neighbours(now)
-            .map(|m| m.peer)
-            .collect();
-        for address in neighbours {
+        for address in self.edge.neighbour_addresses() {
             self.peers.send(address, messages.clone());
         }
     }
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -111,11 +111,7 @@
     }
 
     fn send_to_neighbours(&self, reports: &[Report]) {
-        let now = self.edge.clock.now();
-        let addresses: Vec<_> = {
-            let beliefs = self.edge.beliefs();
-            beliefs.fleet.neighbours(now).map(|m| m.peer).collect()
-        };
+        let addresses = self.edge.neighbour_addresses();
         self.send_reports(&addresses, reports);
     }
 
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -304,6 +304,13 @@
         self.beliefs().fleet.addresses_for(domain, ready, now)
     }
 
+    /// Returns the peer addresses of the daemons of the own domain that are up.
+    pub fn neighbour_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let now = self.clock.now();
+        let beliefs = self.beliefs();
+        beliefs.fleet.neighbours(now).map(|m| m.peer).collect()
+    }
+
     /// Counts an attempt at a backend server until the guard is dropped.
     pub fn start_attempt(self: &Arc<Self>, key: ServerKey) -> AttemptGuard {
         let mut beliefs = self.beliefs();
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -145,12 +145,7 @@
     }
 
     /// Sends a request and returns the response or why there is none.
-    pub async fn exchange(
-        self: &Arc<Self>,
-        outgoing: &Outgoing,
-        target: &Target,
-        left: Duration,
-    ) -> Exchange {
+    pub async fn exchange(&self, outgoing: &Outgoing, target: &Target, left: Duration) -> Exchange {
         let request = encode(outgoing, target, left);
         loop {
             let mut connection = match self.take(target.address, outgoing.repeatability) {
@@ -171,7 +166,7 @@
     }
 
     async fn finish(
-        self: &Arc<Self>,
+        &self,
         mut connection: Connection,
         address: SocketAddr,
         received: Received,
