Bring idle servers into use by the share of failed attempts; report failures after 1 ms

Cause: a service used 5 to 8 of 14 servers in a span of 2 s, because only those that answered lately are known to work. Servers with bad evidence were kept out for 4 s, although a server counts as sound 2 s after it stopped failing. Ruled out: the limit of 0.07 alone. Change: the share of servers to be in use grows from half at 4% failed attempts to all at 9%; bad evidence keeps a server out for 2 s; reports that tell of failures leave after 1 ms (10 ms before) and pass to other domains after 5 ms (20 ms before).

--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -1,6 +1,7 @@
 //! Load that other daemons report, summed per backend server.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -8,6 +9,31 @@
 use super::fleet::RunKey;
 use super::placing::Evidence;
 
+/// Pause in which changes are gathered into one report for the own domain.
+const GATHER: Duration = Duration::from_millis(10);
+/// The same for changes that tell of failures: until they arrive, other daemons send
+/// requests to the failing server, which answers fastest.
+const GATHER_FAILURES: Duration = Duration::from_millis(1);
+/// Pauses for reports that pass to other domains, where bytes cost.
+const GATHER_RELAYED: Duration = Duration::from_millis(100);
+const GATHER_RELAYED_FAILURES: Duration = Duration::from_millis(5);
+
+/// Time after which a change is reported within the domain.
+pub fn report_pause(tells_of_failures: bool) -> Duration {
+    match tells_of_failures {
+        true => GATHER_FAILURES,
+        false => GATHER,
+    }
+}
+
+/// Time after which a report is passed to other domains.
+pub fn relay_pause(tells_of_failures: bool) -> Duration {
+    match tells_of_failures {
+        true => GATHER_RELAYED_FAILURES,
+        false => GATHER_RELAYED,
+    }
+}
+
 /// Short key of a backend server's run, equal on all daemons.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServerTag(pub u32);
@@ -43,9 +69,7 @@
 impl Report {
     /// Whether the report has evidence of a failure.
     pub fn tells_of_failures(&self) -> bool {
-        self.evidence
-            .iter()
-            .any(|(_, evidence)| !matches!(evidence, Evidence::Success(_)))
+        self.evidence.iter().any(|(_, evidence)| evidence.is_bad())
     }
 }
 
--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -52,18 +52,25 @@
 const ROUTE_PRIOR_SAMPLES: f64 = 3.0;
 /// Cost of a busy slot, in service times: servers slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
-/// Share of failed attempts at which a service uses all of its servers. More than a tenth
-/// of the requests may fail within 2 s only while most sound servers are in use in these
-/// 2 s, so the use has to begin while the share is still rising.
-const SPREAD_FAILED_SHARE: f64 = 0.07;
+/// Shares of failed attempts at which a service begins to bring idle servers into use, and
+/// at which it uses all that may be sound. More than a tenth of the requests may fail within
+/// 2 s only while 70% of the sound servers are in use in these 2 s, so the use has to grow
+/// while the share is still rising; each try of an idle server may fail itself.
+const SPREAD_BEGINS: f64 = 0.04;
+const SPREAD_COMPLETE: f64 = 0.09;
+/// Share of the servers that may be sound which is in use when the spreading begins.
+const SPREAD_USE_AT_FIRST: f64 = 0.5;
 /// Time in which an outcome loses 63% of its weight in that share.
 const SPREAD_DECAY: Duration = Duration::from_millis(2_000);
 /// Time without a request after which a server is tried again then. All have to be used
 /// within 2 s.
 const SPREAD_IDLE: Duration = Duration::from_millis(1_500);
-/// Probability of failing above which a server is not tried again for that reason: tries
-/// that fail would raise the share that causes them.
+/// Probability of failing above which a server is not tried again for that reason while
+/// the evidence is fresh: tries that fail would raise the share that causes them.
 const SPREAD_FAILING_MAX: f64 = 0.4;
+/// Age of evidence from which it no longer keeps a server from being tried. A server that
+/// failed by itself counts as sound again 2 s after it stopped.
+const SPREAD_EVIDENCE_MAX_AGE: Duration = Duration::from_millis(2_000);
 /// Advantage of a server that is tried again, in service times.
 const SPREAD_ADVANTAGE: f64 = 20.0;
 /// Cost of a server in another failure domain, in service times.
@@ -90,6 +97,13 @@
     Misdirected,
 }
 
+impl Evidence {
+    /// Whether it speaks against the server.
+    pub fn is_bad(&self) -> bool {
+        !matches!(self, Self::Success(_))
+    }
+}
+
 /// Time of a response in hundredths of the usual time of its route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pace(pub u16);
@@ -141,6 +155,18 @@
         FAILING_BASE_RATE + (self.failing - FAILING_BASE_RATE) * kept
     }
 
+    fn use_at(&self, now: Duration) -> Usage {
+        let age = now.saturating_sub(self.evidence_at);
+        let may_be_sound =
+            self.failing_at(now) < SPREAD_FAILING_MAX || age >= SPREAD_EVIDENCE_MAX_AGE;
+        let is_idle = now.saturating_sub(self.used_at) >= SPREAD_IDLE;
+        match (may_be_sound, is_idle) {
+            (true, true) => Usage::Idle,
+            (true, false) => Usage::InUse,
+            (false, _) => Usage::Avoided,
+        }
+    }
+
     /// Takes an observation with these probabilities at a failing and at a sound server.
     fn update(&mut self, if_failing: f64, if_sound: f64, now: Duration) {
         let prior = self.failing_at(now);
@@ -150,6 +176,17 @@
     }
 }
 
+/// How a server takes part in the load of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Usage {
+    /// It probably works and gets requests.
+    InUse,
+    /// It may work and got no request lately.
+    Idle,
+    /// It failed just now.
+    Avoided,
+}
+
 /// Load and evidence per server, and the choice that follows from them.
 #[derive(Debug, Default)]
 pub struct Placing {
@@ -187,6 +224,16 @@
     }
 }
 
+/// Share of the servers that may be sound which a service with this share of failed attempts
+/// has to use.
+fn spread_use_share(failed_share: f64) -> f64 {
+    if failed_share <= SPREAD_BEGINS {
+        return 0.0;
+    }
+    let grown = (failed_share - SPREAD_BEGINS) / (SPREAD_COMPLETE - SPREAD_BEGINS);
+    (SPREAD_USE_AT_FIRST + (1.0 - SPREAD_USE_AT_FIRST) * grown).min(1.0)
+}
+
 /// Weight that remains after `age`.
 fn fade(age: Duration, decay: Duration) -> f64 {
     (-age.as_secs_f64() / decay.as_secs_f64()).exp()
@@ -321,18 +368,15 @@
         F: FnMut() -> f64,
     {
         let mean_s = query.usual.as_secs_f64();
-        let service = self.services.get(query.service);
-        let spreads = service.is_some_and(|s| s.failed_share() > SPREAD_FAILED_SHARE);
+        let spreads = self.spreads(servers, query.service, now);
         let candidates = servers
             .of_service(query.service)
             .filter(|(k, s)| s.accepts(now) && query.among.contains(*k));
         let costs = candidates.map(|(key, server)| {
             let (cost_s, choice) = self.cost(key, server, &query, mean_s, now);
-            let is_due = spreads && self.is_idle(key, now) && choice.failing < SPREAD_FAILING_MAX;
-            let cost_s = if is_due {
-                cost_s - SPREAD_ADVANTAGE * mean_s
-            } else {
-                cost_s
+            let cost_s = match spreads && self.is_due(key, now) {
+                true => cost_s - SPREAD_ADVANTAGE * mean_s,
+                false => cost_s,
             };
             (cost_s + jitter() * JITTER_SERVICE_TIMES * mean_s, choice)
         });
@@ -341,9 +385,28 @@
             .map(|(_, choice)| choice)
     }
 
-    fn is_idle(&self, key: ServerKey, now: Duration) -> bool {
-        let used_at = self.states.get(key).map(|s| s.used_at);
-        used_at.is_none_or(|at| now.saturating_sub(at) >= SPREAD_IDLE)
+    /// Whether a service fails in part and uses too few of the servers that may be sound.
+    fn spreads(&self, servers: &Servers, service: &str, now: Duration) -> bool {
+        let failed_share = self.services.get(service).map(ServiceState::failed_share);
+        let use_share = spread_use_share(failed_share.unwrap_or_default());
+        if use_share == 0.0 {
+            return false;
+        }
+        let (mut in_use, mut idle) = (0_u32, 0_u32);
+        for (key, _) in servers.of_service(service).filter(|(_, s)| s.accepts(now)) {
+            match self.states.get(key).map_or(Usage::Idle, |s| s.use_at(now)) {
+                Usage::InUse => in_use += 1,
+                Usage::Idle => idle += 1,
+                Usage::Avoided => {}
+            }
+        }
+        f64::from(in_use) < use_share * f64::from(in_use + idle)
+    }
+
+    /// Whether an idle server should be tried, in a service that spreads.
+    fn is_due(&self, key: ServerKey, now: Duration) -> bool {
+        let state = self.states.get(key);
+        state.is_none_or(|s| s.use_at(now) == Usage::Idle)
     }
 
     fn cost(
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, RunKey, Standing};
-use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
+use corianderworks_decision::edge::peer_load::{
+    Report, ServerTag, StoreView, relay_pause, report_pause,
+};
 use corianderworks_decision::edge::placing::Evidence;
 use corianderworks_platform::store::StoreClient;
 use corianderworks_platform::{configuration, daemons};
@@ -18,12 +20,6 @@
 use crate::peers::{DATAGRAM_MAX_BYTES, Incoming, Message, Peers, StoreNews, store_messages};
 use crate::state::{Beliefs, Edge, Life, Outbox};
 
-/// Pause in which changes are gathered into one report for the own domain.
-const GATHER: Duration = Duration::from_millis(10);
-/// The same for reports that pass to other domains, where bytes cost, and for those among
-/// them that tell of failures.
-const GATHER_RELAYED: Duration = Duration::from_millis(100);
-const GATHER_URGENT: Duration = Duration::from_millis(20);
 /// Most reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 12;
 /// Pause between attempts to set up a connection to a peer.
@@ -75,14 +71,18 @@
                     Some(arrived) => self.arrived(arrived),
                     None => return,
                 },
-                () = edge.news.notified(), if self.report_due.is_none() => {
-                    self.report_due = Some(Instant::now() + GATHER);
-                }
+                () = edge.news.notified() => self.plan_report(),
                 () = sleep_until(due) => self.due(),
             }
         }
     }
 
+    /// Sets when the changes so far are reported.
+    fn plan_report(&mut self) {
+        let due = Instant::now() + report_pause(self.edge.beliefs().outbox.tells_of_failures());
+        self.report_due = Some(self.report_due.map_or(due, |at| at.min(due)));
+    }
+
     fn due(&mut self) {
         let now = Instant::now();
         if now >= self.heartbeat_due {
@@ -137,12 +137,7 @@
             return;
         }
         self.relayed.push(report);
-        let gather = if urgent {
-            GATHER_URGENT
-        } else {
-            GATHER_RELAYED
-        };
-        let due = Instant::now() + gather;
+        let due = Instant::now() + relay_pause(urgent);
         self.relay_due = Some(self.relay_due.map_or(due, |at| at.min(due)));
     }
 
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -81,6 +81,13 @@
     pub store: Option<StoreView>,
 }
 
+impl Outbox {
+    /// Whether the evidence tells of a failure.
+    pub fn tells_of_failures(&self) -> bool {
+        self.evidence.iter().any(|(_, evidence)| evidence.is_bad())
+    }
+}
+
 /// Life of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Life {
