Pass on the usable configuration of a watch that ends with an unreadable one

Cause: an unreadable version replaced the usable one before it in the news for the domain, so neighbours that can't read the store never got it. Change: unreadable versions leave the news as they are.

--- a/crates/corianderworks_edge/src/feed.rs
+++ b/crates/corianderworks_edge/src/feed.rs
@@ -270,7 +270,12 @@
         let mut news = StoreNews::default();
         for event in events {
             match self.subject {
-                Subject::Configuration => news.configuration = self.configuration_event(&event),
+                // An unreadable version does not take the place of a usable one before it.
+                Subject::Configuration => {
+                    if let Some(bytes) = self.configuration_event(&event) {
+                        news.configuration = Some(bytes);
+                    }
+                }
                 Subject::Servers => self.server_event(&event, &mut news),
             }
         }
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -149,6 +149,25 @@
     .await;
 }
 
+#[tokio::test]
+async fn an_unreadable_version_does_not_hide_the_usable_one_before_it() {
+    let store = store_with(&["s1"]).await;
+    let refusing = Store::start().await;
+    refusing.set_mood(Mood::Refuses);
+    let port = port();
+    let first = start(port, 2, "a", store.address).await;
+    eventually(IN_FORCE_MAX, "first daemon", || version(&first) == 3).await;
+    let second = start(port, 3, "a", refusing.address).await;
+    eventually(IN_FORCE_MAX, "second daemon", || version(&second) == 3).await;
+    // Both writes end the same watch.
+    store.put("config", "main", configuration(9), Value::Null);
+    store.put("config", "main", json!({"version": "r10"}), Value::Null);
+    eventually(IN_FORCE_MAX, "version 9 from a peer", || {
+        version(&second) == 9
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_silent_store_is_noticed_and_its_changes_are_caught_up() {
     let store = store_with(&["s1", "s2"]).await;
