Do not count failures of servers that are believed to fail as a reason for more tries

Change: outcomes of a server that is believed to fail (0.4 and more) don't count for the share; such a server is tried again when its belief has faded; all idle servers come into use at 6% of failed attempts.

--- a/crates/corianderworks_decision/src/edge/placing.rs
+++ b/crates/corianderworks_decision/src/edge/placing.rs
@@ -57,7 +57,7 @@
 /// 2 s only while 70% of the sound servers are in use in these 2 s, so the use has to grow
 /// while the share is still rising; each try of an idle server may fail itself.
 const SPREAD_BEGINS: f64 = 0.04;
-const SPREAD_COMPLETE: f64 = 0.09;
+const SPREAD_COMPLETE: f64 = 0.06;
 /// Share of the servers that may be sound which is in use when the spreading begins.
 const SPREAD_USE_AT_FIRST: f64 = 0.5;
 /// Time in which an outcome loses 63% of its weight in that share.
@@ -65,12 +65,9 @@
 /// Time without a request after which a server is tried again then. All have to be used
 /// within 2 s.
 const SPREAD_IDLE: Duration = Duration::from_millis(1_500);
-/// Probability of failing above which a server is not tried again for that reason while
-/// the evidence is fresh: tries that fail would raise the share that causes them.
+/// Probability of failing above which a server is not tried again for that reason: tries
+/// that fail would raise the share that causes them.
 const SPREAD_FAILING_MAX: f64 = 0.4;
-/// Age of evidence from which it no longer keeps a server from being tried. A server that
-/// failed by itself counts as sound again 2 s after it stopped.
-const SPREAD_EVIDENCE_MAX_AGE: Duration = Duration::from_millis(2_000);
 /// Advantage of a server that is tried again, in service times.
 const SPREAD_ADVANTAGE: f64 = 20.0;
 /// Cost of a server in another failure domain, in service times.
@@ -156,9 +153,7 @@
     }
 
     fn use_at(&self, now: Duration) -> Usage {
-        let age = now.saturating_sub(self.evidence_at);
-        let may_be_sound =
-            self.failing_at(now) < SPREAD_FAILING_MAX || age >= SPREAD_EVIDENCE_MAX_AGE;
+        let may_be_sound = self.failing_at(now) < SPREAD_FAILING_MAX;
         let is_idle = now.saturating_sub(self.used_at) >= SPREAD_IDLE;
         match (may_be_sound, is_idle) {
             (true, true) => Usage::Idle,
@@ -292,15 +287,15 @@
     pub fn observe(&mut self, server: (ServerKey, &Server), evidence: Evidence, now: Duration) {
         let (key, server) = server;
         let (service, slots) = (server.entry.service.clone(), server.entry.slots);
-        let known = self.services.entry(service).or_default();
-        known.count(
-            !matches!(evidence, Evidence::Success(_) | Evidence::Overdue),
-            now,
-        );
         let Some(entry) = self.states.entry(key) else {
             return;
         };
         let state = entry.or_default();
+        // A failing server that is tried again and still fails calls for no further tries.
+        if state.failing_at(now) < SPREAD_FAILING_MAX {
+            let failed = !matches!(evidence, Evidence::Success(_) | Evidence::Overdue);
+            self.services.entry(service).or_default().count(failed, now);
+        }
         match evidence {
             Evidence::Success(pace) => {
                 state.update(1.0 - FAILING_FAILS, 1.0 - SOUND_FAILS, now);
