--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -14,10 +14,10 @@
 use corianderworks_platform::headers;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::forward::{CallerRequest, handle};
 use crate::http1::{BodyDecoder, Decoded, Framing, MessageError, RequestHead, take_request_head};
@@ -37,6 +37,30 @@
 /// Pause after a failure to accept, such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest time that a daemon without a configuration keeps its port closed. A caller whose
+/// connection is refused tries another daemon at once; one that is answered 503 has to wait.
+/// If the store and all neighbours stay away, a clear answer is better.
+const CLOSED_MAX: Duration = Duration::from_millis(1_000);
+/// Pause between checks whether the daemon can serve.
+const CLOSED_CHECK: Duration = Duration::from_millis(10);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Opens the port for callers when the daemon can serve them, and accepts connections.
+pub async fn open_when_ready(edge: Arc<Edge>, socket: TcpSocket) {
+    let closed_until = Instant::now() + CLOSED_MAX;
+    while !edge.is_ready() && Instant::now() < closed_until {
+        sleep(CLOSED_CHECK).await;
+    }
+    match socket.listen(BACKLOG) {
+        Ok(listener) => {
+            tracing::info!(ready = edge.is_ready(), "caller: port open");
+            accept(edge, listener).await;
+        }
+        Err(error) => tracing::error!(%error, "caller: cannot listen"),
+    }
+}
+
 /// Accepts connections of callers until the daemon stops accepting.
 pub async fn accept(edge: Arc<Edge>, listener: TcpListener) {
     let mut life = edge.life_changes();
@@ -51,7 +75,7 @@
             }
             Err(error) => {
                 tracing::warn!(%error, "caller: accept failed");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Starts, runs and stops an edge daemon.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use corianderworks_decision::edge::shutdown::{Phase, phase};
 use corianderworks_platform::settings::{self, Settings, SettingsError};
 use corianderworks_platform::store::StoreClient;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, interval, sleep};
 
@@ -65,17 +65,17 @@
     let clock = Arc::new(SystemClock::new());
     let edge = Arc::new(Edge::new(settings.clone(), clock, Metrics::new()?));
     tracing::info!(vm = settings.vm, domain = settings.domain, callers = %settings.callers, store = %settings.store, "daemon: starting");
-    let callers = listen(settings.callers).await?;
+    let callers = bind(settings.callers)?;
     let ready = listen(settings.ready).await?;
     let directory = listen(settings.directory).await?;
-    let metrics = listen((Ipv4Addr::UNSPECIFIED, METRICS_PORT).into()).await?;
+    let metrics = listen(SocketAddr::new(settings.address, METRICS_PORT)).await?;
     let store = Arc::new(StoreClient::new(settings.store));
     let peer_address = SocketAddr::new(settings.address, settings.peer_port);
     let (peers, incoming) = Peers::bind(peer_address)?;
     tokio::spawn(news::register(edge.clone(), store.clone(), peers.clone()));
     tokio::spawn(feed::run(edge.clone(), store, peers.clone()));
     tokio::spawn(news::run(edge.clone(), peers, incoming));
-    tokio::spawn(caller::accept(edge.clone(), callers));
+    tokio::spawn(caller::open_when_ready(edge.clone(), callers));
     for listener in [ready, directory, metrics] {
         tokio::spawn(local_http::serve(edge.clone(), listener));
     }
@@ -93,6 +93,20 @@
     Ok(())
 }
 
+/// Reserves an address without listening yet.
+fn bind(address: SocketAddr) -> Result<TcpSocket, DaemonError> {
+    let bound = || {
+        let socket = match address.is_ipv4() {
+            true => TcpSocket::new_v4()?,
+            false => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(socket)
+    };
+    bound().map_err(|error| DaemonError::Listen { address, error })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderworks_decision::edge::fleet::{HEARTBEAT, Member, RunKey, Standing};
+use corianderworks_decision::edge::fleet::{Fleet, HEARTBEAT, Member, RunKey, Standing};
 use corianderworks_decision::edge::peer_load::{
     Report, ServerTag, StoreView, relay_pause, report_pause,
 };
@@ -41,6 +41,7 @@
         links_due: now,
         dialed: HashMap::new(),
         first_wanted: HashMap::new(),
+        silent: Vec::new(),
     };
     news.run(incoming).await;
 }
@@ -57,6 +58,8 @@
     links_due: Instant,
     dialed: HashMap<SocketAddr, Instant>,
     first_wanted: HashMap<SocketAddr, Instant>,
+    /// Daemons that were silent at the last heartbeat.
+    silent: Vec<RunKey>,
 }
 
 impl News {
@@ -260,12 +263,15 @@
         }
     }
 
-    fn forget_silent(&self) {
+    fn forget_silent(&mut self) {
         let now = self.edge.clock.now();
-        let mut beliefs = self.edge.beliefs();
-        for key in beliefs.fleet.silent(now) {
-            beliefs.forget_load(key, now);
+        let edge = self.edge.clone();
+        let mut beliefs = edge.beliefs();
+        let silent = beliefs.fleet.silent(now);
+        for key in &silent {
+            beliefs.forget_load(*key, now);
         }
+        self.log_silent(&beliefs.fleet, &silent);
         let size = beliefs.fleet.size(now);
         let known = beliefs.fleet.others().count() + 1;
         beliefs.budget.set_heard(size, known);
@@ -274,6 +280,30 @@
         self.edge.metrics.set("daemons_known", known as u64);
     }
 
+    /// Logs which daemons became silent since the last call, and which are heard again.
+    fn log_silent(&mut self, fleet: &Fleet, silent: &[RunKey]) {
+        for key in silent.iter().filter(|k| !self.silent.contains(k)) {
+            if let Some(member) = fleet.member(*key) {
+                tracing::info!(
+                    vm = &*member.vm,
+                    domain = &*member.domain,
+                    "fleet: member silent"
+                );
+            }
+        }
+        for key in self.silent.iter().filter(|k| !silent.contains(k)) {
+            // The record of a run that was replaced by a later one is gone.
+            if let Some(member) = fleet.member(*key) {
+                tracing::info!(
+                    vm = &*member.vm,
+                    domain = &*member.domain,
+                    "fleet: member heard again"
+                );
+            }
+        }
+        self.silent = silent.to_vec();
+    }
+
     fn set_up_links(&mut self) {
         let clock = self.edge.clock.now();
         let (own, wanted) = {
