Add the trace command: the story of a request from the logs of many daemons

Cause: on-call had to search the logs by hand and to know which lines bear on a request. Change: `corianderworks trace ID FILE...` prints the request's lines in order, how its servers served other requests within 5 s, starts and stops of its VM, and the cause.

--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -118,6 +118,18 @@
             optional --json
         }
 
+        /// Tell from the logs of edge daemons what happened to a request.
+        ///
+        /// For example: corianderworks trace 9c41d07be2a35f68 logs/vm-1.log logs/vm-2.log
+        cmd trace {
+            /// Id of the request.
+            required request: String
+            /// Log files, one of each daemon or one with the VM's name before each line.
+            repeated file: PathBuf
+            /// Print JSON.
+            optional --json
+        }
+
         /// Show who changed what, when and why.
         cmd audit {
             /// Address of the platform.
--- a/crates/corianderworks/src/commands.rs
+++ b/crates/corianderworks/src/commands.rs
@@ -12,7 +12,7 @@
 use crate::platform::PlatformError;
 use crate::{
     capacity, compare, demo, keys_commands, lists_commands, measure_commands, run_commands,
-    status_commands,
+    status_commands, trace,
 };
 
 /// Failure of a command.
@@ -87,6 +87,7 @@
         CorianderworksCmd::Audit(audit) => lists_commands::audit(&audit).await,
         CorianderworksCmd::Status(status) => status_commands::status(&status).await,
         CorianderworksCmd::Explain(explain) => status_commands::explain(&explain).await,
+        CorianderworksCmd::Trace(flags) => trace::run(&flags),
         CorianderworksCmd::Keys(keys) => match keys.subcommand {
             KeysCmd::New(new) => keys_commands::new(&new),
         },
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -40,5 +40,6 @@
 pub mod store;
 pub mod target;
 pub mod telemetry;
+pub mod trace;
 pub mod upstream;
 pub mod view;
