--- a/crates/corianderworks/src/trace.rs
+++ b/crates/corianderworks/src/trace.rs
@@ -197,9 +197,13 @@
 
 fn cause(line: &Line) -> String {
     let attempts = line.attempts();
-    let ran = match attempts.len() {
-        0 => "it was sent to no backend server".to_owned(),
-        n => format!("{n} attempts, the last at {}", attempts[n - 1].0),
+    let ran = match attempts.last() {
+        // The line is written when the work is dropped, without its attempts.
+        None if line.text("reason") == "caller-left" => {
+            "its attempts are not in the log".to_owned()
+        }
+        None => "it was sent to no backend server".to_owned(),
+        Some((server, _)) => format!("attempts: {}, the last at {server}", attempts.len()),
     };
     let why = match line.text("reason") {
         "served" => "served",
--- a/crates/corianderworks/tests/trace.rs
+++ b/crates/corianderworks/tests/trace.rs
@@ -33,11 +33,21 @@
     );
     assert_eq!(
         story.cause,
-        "a backend server ran it and answered with a failure; 2 attempts, the last at s2; \
+        "a backend server ran it and answered with a failure; attempts: 2, the last at s2; \
          the fleet's repeats of the last 10 s were spent"
     );
 }
 
+#[test]
+fn a_caller_that_left_is_not_said_to_have_been_sent_nowhere() {
+    let line = r#"{"timestamp":"2026-02-24T22:40:57.000Z","message":"forward: caller left","request":"gone","reason":"caller-left","took_ms":852}"#;
+    let story = story("gone", &[("vm-1".to_owned(), line.to_owned())]);
+    assert_eq!(
+        story.cause,
+        "the caller closed its connection; its attempts are not in the log"
+    );
+}
+
 #[test]
 fn an_id_without_lines_points_to_starts_and_stops() {
     let story = story("lost", &files());
