Forget daemons that are gone and remove their records

Cause: nothing removed the records of VMs that never return. Their neighbours tried to connect to them for ever, the shared budget counted them as unheard (each took its part of the fixed budget away), and daemons_up stayed below daemons_known. Ruled out: removal by the daemon that starts next; it can't tell a cut from a loss. Change: 15 min of silence count as removed; the first relay of a domain removes the record by its revision; each daemon writes its own record again every 10 to 20 min, so a daemon that was only cut off is found again.

--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -17,6 +17,9 @@
 const DOWN_AFTER: Duration = Duration::from_millis(1_600);
 /// The same for other domains, whose reports pass two relays.
 const DOWN_AFTER_OTHER_DOMAIN: Duration = Duration::from_millis(2_500);
+/// Silence after which a daemon counts as removed. Regions lose each other for minutes, and
+/// a daemon that is only cut off must stay known; it costs attempts to connect meanwhile.
+const REMOVED_AFTER: Duration = Duration::from_secs(15 * 60);
 /// Relays of a domain; one may fail without a gap.
 pub const RELAYS_PER_DOMAIN: usize = 2;
 /// Fewest daemons that watch the store. A single one could be cut off unnoticed.
@@ -277,6 +280,23 @@
         addresses
     }
 
+    /// Forgets the members that were silent for so long that they count as removed, and
+    /// returns them.
+    pub fn forget_removed(&mut self, now: Duration) -> Vec<Member> {
+        let is_removed = |k: &Known| now.saturating_sub(k.heard) >= REMOVED_AFTER;
+        let removed: Vec<_> = self
+            .known
+            .values()
+            .filter(|k| is_removed(k))
+            .map(|k| k.member.clone())
+            .collect();
+        for member in &removed {
+            self.known.remove(&member.vm);
+            self.by_key.remove(&member.key());
+        }
+        removed
+    }
+
     /// Returns members that became silent since the last call, which are still listed.
     pub fn silent(&self, now: Duration) -> Vec<RunKey> {
         let silent = self
--- a/crates/corianderworks_decision/tests/edge_fleet.rs
+++ b/crates/corianderworks_decision/tests/edge_fleet.rs
@@ -131,3 +131,19 @@
     }
     assert!(fleet.watches_store(at_ms(1)));
 }
+
+#[test]
+fn a_daemon_that_is_silent_for_long_is_forgotten_and_one_that_is_cut_off_is_not() {
+    let mut fleet = seen_by("a1", at_ms(0));
+    let heard = member("a2", "a", 1);
+    fleet.report(heard.key(), Standing::Ready, at_ms(600_000));
+    // A partition of ten minutes.
+    assert_eq!(fleet.forget_removed(at_ms(600_000)), []);
+    let removed = fleet.forget_removed(at_ms(901_000));
+    assert_eq!(removed.len(), MEMBERS.len() - 2);
+    assert_eq!(fleet.others().collect::<Vec<_>>(), [&heard]);
+    // It is learned again when it comes back.
+    let back = member("b1", "b", 1);
+    assert!(fleet.learn(back.clone(), true, at_ms(902_000)));
+    assert!(fleet.is_up(&back, at_ms(902_000)));
+}
--- a/crates/corianderworks_edge/src/news.rs
+++ b/crates/corianderworks_edge/src/news.rs
@@ -11,9 +11,10 @@
     Report, ServerTag, StoreView, relay_pause, report_pause,
 };
 use corianderworks_decision::edge::placing::Evidence;
-use corianderworks_platform::store::StoreClient;
+use corianderworks_platform::store::{StoreClient, StoreError};
 use corianderworks_platform::{configuration, daemons};
 use corianderworks_wire::codec;
+use rand::Rng;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
@@ -272,6 +273,15 @@
             beliefs.forget_load(*key, now);
         }
         self.log_silent(&beliefs.fleet, &silent);
+        let removed = beliefs.fleet.forget_removed(now);
+        for member in &removed {
+            tracing::info!(
+                vm = &*member.vm,
+                domain = &*member.domain,
+                "fleet: member removed"
+            );
+        }
+        beliefs.removed.extend(removed);
         let size = beliefs.fleet.size(now);
         let known = beliefs.fleet.others().count() + 1;
         beliefs.budget.set_heard(size, known);
@@ -369,6 +379,41 @@
         tokio::time::sleep(REGISTER_SETTLE).await;
         learn_registered(&edge, &store).await;
     }
+    loop {
+        let spread = rand::rng().random::<f64>();
+        tokio::time::sleep(REFRESH.mul_f64(1.0 + spread)).await;
+        if let Err(error) = refresh(&edge, &store).await {
+            tracing::warn!(%error, "fleet: records not refreshed");
+        }
+    }
+}
+
+/// Writes the own record again, in case it was removed while this daemon was cut off,
+/// learns of the others, and removes the records of daemons that are gone.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub async fn refresh(edge: &Edge, store: &StoreClient) -> Result<(), StoreError> {
+    let own = edge.beliefs().fleet.own().clone();
+    daemons::register(store, &own).await?;
+    let registered = daemons::list(store).await?;
+    let now = edge.clock.now();
+    let (removed, is_first_relay) = {
+        let mut beliefs = edge.beliefs();
+        let removed = std::mem::take(&mut beliefs.removed);
+        (removed, beliefs.fleet.relay_position(now) == Some(0))
+    };
+    for record in registered {
+        // A later run of the VM has a record of its own.
+        if !removed.contains(&record.member) {
+            edge.beliefs().fleet.learn(record.member, false, now);
+        } else if is_first_relay {
+            daemons::remove(store, &record).await?;
+            tracing::info!(vm = &*record.member.vm, "fleet: record removed");
+        }
+    }
+    Ok(())
 }
 
 /// Learns of the registered daemons; tries until the store answers.
@@ -379,8 +424,8 @@
             Ok(members) => {
                 let now = edge.clock.now();
                 let mut beliefs = edge.beliefs();
-                for member in members {
-                    beliefs.fleet.learn(member, false, now);
+                for registered in members {
+                    beliefs.fleet.learn(registered.member, false, now);
                 }
                 return;
             }
@@ -391,6 +436,9 @@
     }
 }
 
+/// Shortest pause between refreshes of the own record, up to twice that. Two calls of each
+/// daemon in it are 1.4 calls a second at 430 daemons.
+const REFRESH: Duration = Duration::from_secs(600);
 /// First and longest pause after a failed registration.
 const REGISTER_RETRY_MIN: Duration = Duration::from_millis(300);
 const REGISTER_RETRY_MAX: Duration = Duration::from_millis(3_000);
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -48,6 +48,8 @@
     pub heard_store_view: Option<(StoreView, Duration)>,
     /// Configuration in force as it stands in the store.
     pub configuration_bytes: Option<Bytes>,
+    /// Daemons that count as removed, whose records may still stand in the store.
+    pub removed: Vec<Member>,
 }
 
 impl Beliefs {
@@ -133,6 +135,7 @@
             outbox: Outbox::default(),
             heard_store_view: None,
             configuration_bytes: None,
+            removed: Vec::new(),
         };
         Self {
             settings,
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use corianderworks_decision::clock::SystemClock;
+use corianderworks_decision::edge::fleet::Member;
 use corianderworks_decision::edge::placing::{Among, Evidence};
 use corianderworks_decision::edge::routes::Repeatability;
 use corianderworks_edge::metrics::Metrics;
 use corianderworks_edge::peers::Peers;
 use corianderworks_edge::state::Edge;
 use corianderworks_edge::{feed, news};
+use corianderworks_platform::daemons;
 use corianderworks_platform::store::StoreClient;
 use serde_json::{Value, json};
 use support::settings;
@@ -261,3 +263,43 @@
     let moved = || fleet.iter().all(|e| (0..20).all(|_| chosen(e) == "s2"));
     eventually(Duration::from_millis(500), "evidence", moved).await;
 }
+
+#[tokio::test]
+async fn records_of_removed_daemons_go_and_a_lost_record_comes_back() {
+    let store = store_with(&["s1"]).await;
+    let edge = start(port(), 2, "a", store.address).await;
+    let client = StoreClient::new(store.address);
+    let gone = Member {
+        vm: "vm-gone".into(),
+        started_unix_ms: 1,
+        domain: "a".into(),
+        peer: SocketAddr::from(([127, 0, 0, 99], 1)),
+        callers: SocketAddr::from(([127, 0, 0, 99], 2)),
+    };
+    let later = Member {
+        vm: "vm-later".into(),
+        ..gone.clone()
+    };
+    for member in [&gone, &later] {
+        daemons::register(&client, member).await.expect("a record");
+    }
+    eventually(IN_FORCE_MAX, "own record", || {
+        store.names(daemons::KIND).len() == 3
+    })
+    .await;
+    edge.beliefs().removed = vec![gone.clone(), later.clone()];
+    // The VM has started again meanwhile.
+    let restarted = Member {
+        started_unix_ms: 2,
+        ..later
+    };
+    daemons::register(&client, &restarted)
+        .await
+        .expect("a record");
+    store.remove(daemons::KIND, "vm-2");
+    news::refresh(&edge, &client)
+        .await
+        .expect("the store answers");
+    assert_eq!(store.names(daemons::KIND), ["vm-2", "vm-later"]);
+    assert!(edge.beliefs().fleet.others().any(|m| *m == restarted));
+}
--- a/crates/corianderworks_edge/tests/support/store.rs
+++ b/crates/corianderworks_edge/tests/support/store.rs
@@ -202,10 +202,29 @@
                 self.put(&kind, &name, body["spec"].clone(), Value::Null);
                 answer(StatusCode::OK, &Value::Null)
             }
+            (Method::DELETE, Some(name)) => {
+                let key = (kind.to_owned(), name.to_owned());
+                let object = self.content.lock().objects.get(&key).cloned();
+                match object.map(|o| o["metadata"]["revision"].as_u64()) {
+                    None => answer(StatusCode::NOT_FOUND, &Value::Null),
+                    Some(revision) if revision == number("revision") => {
+                        self.remove(kind, name);
+                        answer(StatusCode::OK, &Value::Null)
+                    }
+                    Some(_) => answer(StatusCode::CONFLICT, &Value::Null),
+                }
+            }
             _ => answer(StatusCode::NOT_FOUND, &Value::Null),
         }
     }
 
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let content = self.content.lock();
+        let keys = content.objects.keys().filter(|(k, _)| k == kind);
+        keys.map(|(_, name)| name.clone()).collect()
+    }
+
     fn list(&self, kind: &str) -> Response<Full<Bytes>> {
         let content = self.content.lock();
         let items: Vec<_> = content
