Split registration from the news between daemons; end when the caller port can't open

Cause: read of the change as a newcomer: news.rs held the records in the store too, and a daemon whose port for callers could not be opened logged an error and went on reporting that it is ready. Change: registration.rs; the failure ends the process, as for the other sockets. No change of behaviour otherwise.

--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -47,18 +47,19 @@
 const BACKLOG: u32 = 1024;
 
 /// Opens the port for callers when the daemon can serve them, and accepts connections.
-pub async fn open_when_ready(edge: Arc<Edge>, socket: TcpSocket) {
+///
+/// # Errors
+///
+/// Fails if the port can't be opened.
+pub async fn open_when_ready(edge: Arc<Edge>, socket: TcpSocket) -> io::Result<()> {
     let closed_until = Instant::now() + CLOSED_MAX;
     while !edge.is_ready() && Instant::now() < closed_until {
         sleep(CLOSED_CHECK).await;
     }
-    match socket.listen(BACKLOG) {
-        Ok(listener) => {
-            tracing::info!(ready = edge.is_ready(), "caller: port open");
-            accept(edge, listener).await;
-        }
-        Err(error) => tracing::error!(%error, "caller: cannot listen"),
-    }
+    let listener = socket.listen(BACKLOG)?;
+    tracing::info!(ready = edge.is_ready(), "caller: port open");
+    accept(edge, listener).await;
+    Ok(())
 }
 
 /// Accepts connections of callers until the daemon stops accepting.
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -10,12 +10,13 @@
 use corianderworks_platform::store::StoreClient;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, sleep};
 
 use crate::metrics::{Metrics, MetricsError};
 use crate::peers::{PeerError, Peers};
 use crate::state::{Edge, Life};
-use crate::{caller, feed, local_http, logs, news};
+use crate::{caller, feed, local_http, logs, news, registration};
 
 /// Port of the metrics, as named in the deploy file.
 const METRICS_PORT: u16 = 9464;
@@ -73,10 +74,21 @@
     let store = Arc::new(StoreClient::new(settings.store));
     let peer_address = SocketAddr::new(settings.address, settings.peer_port);
     let (peers, incoming) = Peers::bind(peer_address)?;
-    tokio::spawn(news::register(edge.clone(), store.clone(), peers.clone()));
+    tokio::spawn(registration::register(
+        edge.clone(),
+        store.clone(),
+        peers.clone(),
+    ));
     tokio::spawn(feed::run(edge.clone(), store, peers.clone()));
     tokio::spawn(news::run(edge.clone(), peers, incoming));
-    tokio::spawn(caller::open_when_ready(edge.clone(), callers));
+    let (failed, mut failure) = mpsc::channel(1);
+    let accepting = edge.clone();
+    tokio::spawn(async move {
+        if let Err(error) = caller::open_when_ready(accepting, callers).await {
+            // The receiver ends with the process only.
+            failed.send(error).await.ok();
+        }
+    });
     for listener in [ready, directory, metrics] {
         tokio::spawn(local_http::serve(edge.clone(), listener));
     }
@@ -84,6 +96,9 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => edge.tick(),
+            Some(error) = failure.recv() => {
+                return Err(DaemonError::Listen { address: settings.callers, error });
+            }
             _ = signals.reload.recv() => reload(&path, &settings),
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod news;
 pub mod peers;
 pub mod reason;
+pub mod registration;
 pub mod reply;
 mod run;
 pub mod state;
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -14,7 +14,7 @@
 use corianderworks_edge::metrics::Metrics;
 use corianderworks_edge::peers::Peers;
 use corianderworks_edge::state::Edge;
-use corianderworks_edge::{feed, news};
+use corianderworks_edge::{feed, news, registration};
 use corianderworks_platform::daemons;
 use corianderworks_platform::store::StoreClient;
 use serde_json::{Value, json};
@@ -41,7 +41,11 @@
     let edge = Arc::new(Edge::new(settings, Arc::new(SystemClock::new()), metrics));
     let (peers, incoming) = Peers::bind(SocketAddr::new(address, port)).expect("a peer socket");
     let client = Arc::new(StoreClient::new(store));
-    tokio::spawn(news::register(edge.clone(), client.clone(), peers.clone()));
+    tokio::spawn(registration::register(
+        edge.clone(),
+        client.clone(),
+        peers.clone(),
+    ));
     tokio::spawn(feed::run(edge.clone(), client, peers.clone()));
     tokio::spawn(news::run(edge.clone(), peers, incoming));
     let ticking = edge.clone();
@@ -297,7 +301,7 @@
         .await
         .expect("a record");
     store.remove(daemons::KIND, "vm-2");
-    news::refresh(&edge, &client)
+    registration::refresh(&edge, &client)
         .await
         .expect("the store answers");
     assert_eq!(store.names(daemons::KIND), ["vm-2", "vm-later"]);
