Export how many servers of a service are in use, and log how long a chosen one was idle

Now each daemon exports in-use, idle and avoided servers per service as it sees them, counted when the metrics are read, and each attempt in the log names the time since any daemon last sent the server a request, which decides whether requests are spread to it.

Test: metrics_count_the_servers_of_a_service_by_use. No decision is changed.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -181,6 +181,17 @@
     }
 }
 
+/// Number of a service's servers by their usage.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerUse {
+    /// Servers that may be healthy and have recent requests.
+    pub in_use: u32,
+    /// Servers that may be healthy and have no recent requests.
+    pub idle: u32,
+    /// Servers that are probably failing.
+    pub avoided: u32,
+}
+
 /// Usage of a server, as counted when requests are spread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Usage {
@@ -255,6 +266,9 @@
     pub in_flight: u32,
     /// Probability that the server is failing.
     pub failing_probability: f64,
+    /// Time since any daemon last sent a request to the server; since the start of the clock if
+    /// none is known.
+    pub idle_for: Duration,
 }
 
 impl LoadBalancer {
@@ -401,22 +415,25 @@
         if required_share == 0.0 {
             return false;
         }
-        let (mut in_use, mut idle) = (0_u32, 0_u32);
-        for (key, _) in servers
+        let ServerUse { in_use, idle, .. } = self.server_use(servers, service, now);
+        f64::from(in_use) < required_share * f64::from(in_use + idle)
+    }
+
+    /// Counts the servers of a service that accept requests by their usage.
+    pub fn server_use(&self, servers: &Servers, service: &str, now: Duration) -> ServerUse {
+        let mut server_use = ServerUse::default();
+        let accepting = servers
             .of_service(service)
-            .filter(|(_, s)| s.accepts_requests(now))
-        {
-            match self
-                .states
-                .get(key)
-                .map_or(Usage::Idle, |s| s.usage_at(now))
-            {
-                Usage::InUse => in_use += 1,
-                Usage::Idle => idle += 1,
-                Usage::Avoided => {}
+            .filter(|(_, s)| s.accepts_requests(now));
+        for (key, _) in accepting {
+            let state = self.states.get(key);
+            match state.map_or(Usage::Idle, |s| s.usage_at(now)) {
+                Usage::InUse => server_use.in_use += 1,
+                Usage::Idle => server_use.idle += 1,
+                Usage::Avoided => server_use.avoided += 1,
             }
         }
-        f64::from(in_use) < required_share * f64::from(in_use + idle)
+        server_use
     }
 
     /// Whether spreading prefers this server: it is possibly healthy and has no recent requests.
@@ -462,6 +479,7 @@
             expected_latency: Duration::from_secs_f64(service_s + wait_s),
             in_flight,
             failing_probability,
+            idle_for: now.saturating_sub(state.used_at),
         };
         (cost_s, choice)
     }
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -140,6 +140,11 @@
             .filter_map(|k| self.arena.get(*k).map(|s| (*k, s)))
     }
 
+    /// Returns the services that have or had servers.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.by_service.keys()
+    }
+
     /// Returns the entries of all servers, including lapsed ones.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
         self.arena.values().map(|s| &s.entry)
--- a/crates/corianderworks_edge/src/local_http.rs
+++ b/crates/corianderworks_edge/src/local_http.rs
@@ -63,7 +63,7 @@
             response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new())
         }
         addresses::RESOLVE_PATH => resolve(edge, request.uri().query().unwrap_or_default()),
-        METRICS_PATH => match edge.metrics.prometheus_text() {
+        METRICS_PATH => match edge.metrics_text() {
             Ok(prometheus_text) => response(
                 StatusCode::OK,
                 "text/plain; version=0.0.4",
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderworks_decision::edge::load_balancer::ServerUse;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -32,6 +33,7 @@
     attempt_time: Histogram<f64>,
     store_calls: Counter<u64>,
     state: Gauge<u64>,
+    servers: Gauge<u64>,
 }
 
 impl Metrics {
@@ -66,6 +68,7 @@
                 .build(),
             store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
             state: meter.u64_gauge("corianderworks_edge_state").build(),
+            servers: meter.u64_gauge("corianderworks_edge_servers").build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -95,6 +98,22 @@
         self.state.record(value, &[KeyValue::new("name", name)]);
     }
 
+    /// Sets the gauges of the number of backend servers of a service by their usage.
+    pub fn set_server_use(&self, service: &Arc<str>, server_use: ServerUse) {
+        let counts = [
+            ("in-use", server_use.in_use),
+            ("idle", server_use.idle),
+            ("avoided", server_use.avoided),
+        ];
+        for (usage, count) in counts {
+            let labels = [
+                KeyValue::new("service", service.clone()),
+                KeyValue::new("use", usage),
+            ];
+            self.servers.record(u64::from(count), &labels);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -175,11 +175,12 @@
         self.refused_by.retain(|key| *key != choice.key);
         self.open_attempts.push((choice.key, started, false));
         self.attempt_history.push(format!(
-            "{}(busy {}, failing {:.2}, expected {} ms)",
+            "{}(busy {}, failing {:.2}, expected {} ms, idle {} ms)",
             target.id,
             choice.in_flight,
             choice.failing_probability,
-            choice.expected_latency.as_millis()
+            choice.expected_latency.as_millis(),
+            choice.idle_for.as_millis()
         ));
         self.attempts.spawn(async move {
             let exchange = edge.pool.exchange(&outgoing, &target, remaining).await;
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::logs::LineRateLimiter;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
 
 /// Request bodies may take the memory of the VM divided by this number.
@@ -364,6 +364,22 @@
         RequestGuard { edge: self.clone() }
     }
 
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn metrics_text(&self) -> Result<String, MetricsError> {
+        let now = self.clock.now();
+        let state = self.lock_state();
+        for service in state.servers.services() {
+            let server_use = state.load_balancer.server_use(&state.servers, service, now);
+            self.metrics.set_server_use(service, server_use);
+        }
+        drop(state);
+        self.metrics.prometheus_text()
+    }
+
     /// Returns the number of requests of callers that are in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -164,6 +164,21 @@
     assert_eq!(connections, [1, 1, 1]);
 }
 
+#[tokio::test]
+async fn metrics_count_the_servers_of_a_service_by_use() {
+    let [used, unused] = [Backend::start([]).await, Backend::start([]).await];
+    let daemon = Daemon::with_backends(&[&used, &unused]).await;
+    // A server counts as idle when it had no request for some time after the start.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert_eq!(daemon.fetch(&get("/read/x", "r1")).await.status, 200);
+    let text = daemon.edge.metrics_text().expect("metrics");
+    for (label, count) in [("in-use", 1), ("idle", 1), ("avoided", 0)] {
+        let line =
+            format!("corianderworks_edge_servers{{service=\"ledger\",use=\"{label}\"}} {count}");
+        assert!(text.lines().any(|l| l == line), "{line} not in\n{text}");
+    }
+}
+
 #[tokio::test]
 async fn connection_is_closed_after_a_response_to_an_incomplete_request() {
     let backend = Backend::start([Action::RespondEarly, OK]).await;
