Bound what a server in trouble can send without end

Callers: a server that sends interim responses, trailers, chunk extensions or the body of another response without end held its request until the deadline, while the daemon read at the speed of the link. A streamed body without end went on until the caller left, also past the deadline. A pooled connection on which bytes arrive kept its socket buffer until the idle timeout.

Change: at most 16 interim responses, 16 KiB of trailers, 16 KiB of chunk extensions and 1 MiB of a skipped body; the rest of a streamed body is cut at the deadline of the request; pooled connections with unread bytes are closed at the next tick. Heads and unsigned bodies were bounded before.

--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -13,8 +13,10 @@
 pub const RESPONSE_HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Maximum length of a chunk-size line that arrives in several reads, with extensions, in bytes.
 const CHUNK_SIZE_LINE_MAX_BYTES: usize = 1024;
-/// Maximum length of a trailer line that arrives in several reads, in bytes.
-const TRAILER_LINE_MAX_BYTES: usize = 16 * 1024;
+/// Maximum total length of the chunk extensions of a body, in bytes.
+const CHUNK_EXTENSIONS_MAX_BYTES: usize = 16 * 1024;
+/// Maximum total length of the trailer lines of a body, in bytes.
+const TRAILERS_MAX_BYTES: usize = 16 * 1024;
 
 /// Hop-by-hop headers, which apply to a single connection and are not forwarded, in lower case.
 const HOP_BY_HOP: [&str; 10] = [
@@ -290,6 +292,9 @@
 #[derive(Debug)]
 pub struct BodyDecoder {
     state: BodyState,
+    /// Bytes left for chunk extensions and for trailers.
+    extensions_left: usize,
+    trailers_left: usize,
 }
 
 impl BodyDecoder {
@@ -301,7 +306,11 @@
             Framing::Chunked => BodyState::ChunkSize,
             Framing::UntilClose => BodyState::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            extensions_left: CHUNK_EXTENSIONS_MAX_BYTES,
+            trailers_left: TRAILERS_MAX_BYTES,
+        }
     }
 
     /// Whether closing the connection ends the body regularly.
@@ -337,23 +346,33 @@
                 }
                 BodyState::ChunkSize => match take_line(buffer, CHUNK_SIZE_LINE_MAX_BYTES)? {
                     None => return Ok(Decoded::NeedMore),
-                    Some(line) => self.state = parse_chunk_size(&line)?,
+                    Some(line) => {
+                        let extensions = line.iter().skip_while(|b| **b != b';').count();
+                        spend(&mut self.extensions_left, extensions)?;
+                        self.state = parse_chunk_size(&line)?;
+                    }
                 },
                 BodyState::ChunkEnd => match take_line(buffer, 2)? {
                     None => return Ok(Decoded::NeedMore),
                     Some(line) if line.is_empty() => self.state = BodyState::ChunkSize,
                     Some(_) => return Err(MessageError::Malformed),
                 },
-                BodyState::Trailers => match take_line(buffer, TRAILER_LINE_MAX_BYTES)? {
+                BodyState::Trailers => match take_line(buffer, self.trailers_left)? {
                     None => return Ok(Decoded::NeedMore),
                     Some(line) if line.is_empty() => self.state = BodyState::End,
-                    Some(_) => {}
+                    Some(line) => spend(&mut self.trailers_left, line.len())?,
                 },
             }
         }
     }
 }
 
+/// Deducts bytes that a sender may repeat without end.
+fn spend(left: &mut usize, bytes: usize) -> Result<(), MessageError> {
+    *left = left.checked_sub(bytes).ok_or(MessageError::Malformed)?;
+    Ok(())
+}
+
 fn parse_chunk_size(line: &[u8]) -> Result<BodyState, MessageError> {
     let size = line
         .split(|b| *b == b';')
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -32,6 +32,10 @@
 const IDLE_TIMEOUT_SHARE_NON_IDEMPOTENT: f64 = 0.5;
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 const MISMATCHED_RESPONSES_MAX: usize = 3;
+/// Maximum number of interim (1xx) responses before a response.
+const INTERIM_RESPONSES_MAX: usize = 16;
+/// Maximum size of the body of a response to another request, which is skipped, in bytes.
+const SKIPPED_BODY_MAX_BYTES: usize = 1024 * 1024;
 /// Maximum size of a body that is buffered completely before the response is forwarded, in bytes.
 /// While a response is buffered, another server can still be tried if the connection breaks.
 const BUFFERED_BODY_MAX_BYTES: usize = 1024 * 1024;
@@ -110,6 +114,9 @@
     /// can't be determined.
     #[error("response does not match the request")]
     MismatchedResponse,
+    /// The deadline of the request passed before the end of the body.
+    #[error("deadline passed before the end of the response")]
+    DeadlinePassed,
 }
 
 #[derive(Debug)]
@@ -138,11 +145,15 @@
         Self::default()
     }
 
-    /// Closes the connections whose idle timeout has passed.
+    /// Closes the connections whose idle timeout has passed, that the server has closed, or on
+    /// which it sent bytes that belong to no request.
     pub fn close_idle(&self) {
         let now = Instant::now();
         self.idle.lock().retain(|_, connections| {
-            connections.retain(|c| now.duration_since(c.idle_since) < c.idle_timeout);
+            connections.retain(|c| {
+                let in_time = now.duration_since(c.idle_since) < c.idle_timeout;
+                in_time && is_reusable(&c.connection.stream)
+            });
             !connections.is_empty()
         });
     }
@@ -156,6 +167,7 @@
         time_left: Duration,
     ) -> ExchangeResult {
         let request = encode(outgoing, target, time_left);
+        let deadline = Instant::now() + time_left;
         loop {
             let mut connection = match self.take_idle(target.address, outgoing.request_idempotency)
             {
@@ -174,7 +186,7 @@
                 }
                 Ok(received) => {
                     return self
-                        .receive_body(connection, target.address, received)
+                        .receive_body(connection, target.address, received, deadline)
                         .await;
                 }
             }
@@ -186,6 +198,7 @@
         mut connection: Connection,
         address: SocketAddr,
         received: ReceivedHead,
+        deadline: Instant,
     ) -> ExchangeResult {
         let mut decoder = BodyDecoder::new(received.head.framing);
         let mut body = BytesMut::new();
@@ -199,6 +212,7 @@
                 let stream = BodyStream {
                     connection,
                     decoder,
+                    deadline,
                 };
                 let body = ResponseBody::Partial(body.freeze(), stream);
                 let head = received.head;
@@ -346,13 +360,20 @@
     let (mut reader, mut writer) = connection.stream.split();
     let buffer = &mut connection.buffer;
     let mut mismatched = 0;
+    let mut interim = 0;
     let mut any_received = false;
     let mut write_failed = false;
     loop {
         let parsed = take_response_head(buffer, &outgoing.head.method)
             .map_err(|_| SendError::ResponseError(ResponseError::Malformed))?;
         match parsed {
-            Some(head) if (100..200).contains(&head.status) => continue,
+            Some(head) if (100..200).contains(&head.status) => {
+                interim += 1;
+                if interim > INTERIM_RESPONSES_MAX {
+                    return Err(SendError::ResponseError(ResponseError::Malformed));
+                }
+                continue;
+            }
             Some(head) if matches_request(&head, outgoing, reused || mismatched > 0) => {
                 let request_complete = request.is_empty() && !write_failed;
                 return Ok(ReceivedHead {
@@ -412,13 +433,19 @@
     R: tokio::io::AsyncRead + Unpin,
 {
     let mut decoder = BodyDecoder::new(framing);
+    let mut skipped_bytes = 0;
     loop {
         match decoder
             .decode(buffer)
             .map_err(|_| ResponseError::Malformed)?
         {
             Decoded::End => return Ok(()),
-            Decoded::Data(_) => {}
+            Decoded::Data(data) => {
+                skipped_bytes += data.len();
+                if skipped_bytes > SKIPPED_BODY_MAX_BYTES {
+                    return Err(ResponseError::MismatchedResponse);
+                }
+            }
             Decoded::NeedMore => {
                 if reader.read_buf(buffer).await? == 0 {
                     return Err(ResponseError::UnexpectedEof);
@@ -457,6 +484,9 @@
 pub struct BodyStream {
     connection: Connection,
     decoder: BodyDecoder,
+    /// Time at which the caller or the route stops waiting. A body may have no end, so a part that
+    /// arrives later ends the stream.
+    deadline: Instant,
 }
 
 impl BodyStream {
@@ -464,8 +494,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks before the end of the body or the framing is malformed.
+    /// Fails if the connection breaks before the end of the body, the framing is malformed, or the
+    /// deadline of the request has passed.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ResponseError> {
-        next_part(&mut self.connection, &mut self.decoder).await
+        if Instant::now() >= self.deadline {
+            return Err(ResponseError::DeadlinePassed);
+        }
+        let part = next_part(&mut self.connection, &mut self.decoder);
+        tokio::time::timeout_at(self.deadline, part)
+            .await
+            .map_err(|_| ResponseError::DeadlinePassed)?
     }
 }
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -51,6 +51,9 @@
     Hang,
     /// Responds before it reads the body, then continues to read.
     RespondEarly,
+    /// Sends the first bytes, with `{id}` replaced by the request id, then repeats the second ones
+    /// until the daemon closes the connection.
+    Endless(&'static str, &'static str),
 }
 
 /// Responds 200 without a delay.
@@ -87,6 +90,8 @@
     received_requests: Mutex<Vec<ReceivedRequest>>,
     connections: Mutex<usize>,
     closed_while_hanging: Mutex<usize>,
+    /// Bytes that `Endless` could send; set when the daemon has closed the connection.
+    endless_bytes: Mutex<Option<usize>>,
 }
 
 /// Backend server that performs one scripted action per request, and responds 200 to the requests
@@ -129,6 +134,25 @@
         *self.state.closed_while_hanging.lock()
     }
 
+    /// Returns the number of bytes that [`Action::Endless`] could send, or `None` while the daemon
+    /// keeps the connection open.
+    pub fn endless_bytes(&self) -> Option<usize> {
+        *self.state.endless_bytes.lock()
+    }
+
+    async fn send_endless(&self, stream: &mut TcpStream, first: &str, repeated: &str) {
+        let part = repeated.repeat(4096 / repeated.len());
+        let mut sent = first.len();
+        if stream.write_all(first.as_bytes()).await.is_ok() {
+            // A complete response is read before the bytes that follow it arrive.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            while stream.write_all(part.as_bytes()).await.is_ok() {
+                sent += part.len();
+            }
+        }
+        *self.state.endless_bytes.lock() = Some(sent);
+    }
+
     async fn serve(self, mut stream: TcpStream, connection: usize) {
         let mut buffer = Vec::new();
         loop {
@@ -190,6 +214,11 @@
                 return false;
             }
             Action::Close => return false,
+            Action::Endless(first, repeated) => {
+                self.send_endless(stream, &first.replace("{id}", &id), repeated)
+                    .await;
+                return false;
+            }
             Action::Hang => {
                 let mut byte = [0; 1];
                 if !matches!(stream.read(&mut byte).await, Ok(1..)) {
