--- a/crates/corianderworks_edge/src/reply.rs
+++ b/crates/corianderworks_edge/src/reply.rs
@@ -40,7 +40,7 @@
     /// Head, and the body as far as it was received.
     pub bytes: Bytes,
     /// Rest of the body, to be streamed with this framing; `None` if the body is complete.
-    pub rest: Option<(BodyStream, RestFraming)>,
+    pub rest: Option<(Box<BodyStream>, RestFraming)>,
 }
 
 /// Framing of the rest of a streamed body.
@@ -118,7 +118,7 @@
     mut out: BytesMut,
     head: &ResponseHead,
     first: &Bytes,
-    stream: BodyStream,
+    stream: Box<BodyStream>,
 ) -> Encoded {
     let framing = match head.framing {
         Framing::Length(length) => {
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -71,7 +71,7 @@
     /// The body was received completely.
     Complete(Bytes),
     /// Start of a body that is too large to buffer, and the stream of the rest.
-    Partial(Bytes, BodyStream),
+    Partial(Bytes, Box<BodyStream>),
 }
 
 /// Response of a backend server.
@@ -214,7 +214,7 @@
                     decoder,
                     deadline,
                 };
-                let body = ResponseBody::Partial(body.freeze(), stream);
+                let body = ResponseBody::Partial(body.freeze(), Box::new(stream));
                 let head = received.head;
                 return ExchangeResult::Response(UpstreamResponse { head, body });
             }
