Send each server that may be healthy a request every 1.8 s at the latest

Cause: idle servers came into use only by the share of failed attempts, half of them from 4% on. A cut is no failed attempt before it happens, so in calm times 35 to 60% of the servers were in use; with 8 to 11 servers per service that is most of them, with 40 to 100 it isn't.

Change: each server is due for a request 1.1 s after its last one. Daemons of its own domain send it within a random part of 350 ms, others of the 350 ms after. A suspected server is due 3 s after the failure, then every 4.5 s. The share of failed attempts has no role any more. Use counts from the start of a request (a rising number in flight), or from its reported end if it was never in flight in a report. Requests that can't be retried leave due servers alone if a service has fewer requests in 2 s than servers.

Ruled out: a required share of servers in place of a time for each one (new servers drew 56% of the attempts of a service in a release and would have filled the share); retry times by an estimate of the recovered servers, and longer decay of evidence (no gain in the play, and edge_floor.rs failed).

Tests: edge_server_use.rs had 1,864, 3,410, 164, 1,616 and 1,641 windows with too few servers in use, now none; its play is stricter than then, since short requests are never reported in flight.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -57,26 +57,30 @@
 /// Cost of full occupancy in typical service times, scaled by the share of busy slots: servers
 /// slow down when nearly full.
 const BUSY_SLOT_COST: f64 = 0.4;
-/// Shares of failed attempts at which requests start to be spread to idle servers of the
-/// service, and at which all servers that may be healthy are used. While more than a tenth of
-/// the requests in any 2 s fail, at least 70% of the healthy servers have to be in use in the
-/// same 2 s. Spreading therefore starts while the share is still rising, and also because a
-/// request to an idle server may fail itself.
-const SPREAD_START_SHARE: f64 = 0.04;
-const SPREAD_FULL_SHARE: f64 = 0.06;
-/// Share of the possibly healthy servers that are to be in use when spreading starts.
-const SPREAD_INITIAL_USE_SHARE: f64 = 0.5;
-/// Time constant of the decay of an outcome in the share of failed attempts (63% of its weight
-/// is lost in this time).
-const SPREAD_DECAY: Duration = Duration::from_millis(2_000);
-/// Time without a request after which a server counts as idle. Must be shorter than the 2 s
-/// within which the servers have to be used.
-const SPREAD_IDLE_TIME: Duration = Duration::from_millis(1_500);
-/// Failing probability from which on spreading avoids a server: failed requests would raise
-/// the share of failures that triggers spreading.
-const SPREAD_FAILING_PROBABILITY_MAX: f64 = 0.4;
-/// Cost reduction of an idle server while requests are spread, in typical service times.
-const SPREAD_COST_REDUCTION: f64 = 20.0;
+/// Time without a request after which a server is due for one. All daemons may stop without
+/// warning, and of the healthy servers most must have been in use in the 2 s before, including the
+/// time until other daemons learn of a request.
+const DUE_INTERVAL: Duration = Duration::from_millis(1_100);
+/// Range of the random delay before a daemon sends a request to a server that is due. Without it,
+/// all daemons would choose the server at the same time, before any of them learns of the others'
+/// requests. Daemons of other domains wait for the whole range first.
+const DUE_SPREAD: Duration = Duration::from_millis(350);
+/// Cost reduction of a server that is due, in typical service times.
+const DUE_COST_REDUCTION: f64 = 20.0;
+/// Time constant of the decay of the number of recent requests of a service. Must not be longer
+/// than the time within which the servers have to be used.
+const REQUEST_COUNT_DECAY: Duration = Duration::from_millis(2_000);
+/// Failing probability from which on a server is suspected: it is due only when its retry time has
+/// come.
+const SUSPECTED_PROBABILITY: f64 = 0.4;
+/// Same for the retry of a suspected server. Longer, because each further request to it probably
+/// fails.
+const RETRY_SPREAD: Duration = Duration::from_millis(500);
+/// Bounds of the time until a suspected server is retried.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(3_000);
+const RETRY_DELAY_MAX: Duration = Duration::from_millis(4_500);
+/// Factor by which each failed retry extends the time until the next one.
+const RETRY_DELAY_FACTOR: f64 = 1.5;
 /// Cost of a server in another failure domain, in typical service times.
 const OTHER_DOMAIN_COST: f64 = 0.8;
 /// Service time factor during a server's cold start.
@@ -131,6 +135,10 @@
     evidence_at: Duration,
     /// Time at which any daemon last sent a request to the server.
     used_at: Duration,
+    /// Earliest time of the next retry, if the server is suspected.
+    retry_at: Duration,
+    /// Time between the last failure and the next retry; zero if the server isn't suspected.
+    retry_delay: Duration,
     /// Moving average; 1.0 is the typical latency of the route.
     relative_latency: f64,
     samples: f64,
@@ -144,6 +152,8 @@
             failing_probability: FAILING_PROBABILITY_NEW,
             evidence_at: Duration::ZERO,
             used_at: Duration::ZERO,
+            retry_at: Duration::ZERO,
+            retry_delay: Duration::ZERO,
             relative_latency: 1.0,
             samples: 0.0,
         }
@@ -151,6 +161,11 @@
 }
 
 impl ServerState {
+    /// Returns the number of requests that all daemons have in flight at the server.
+    fn in_flight(&self) -> u32 {
+        self.own_in_flight + self.peer_in_flight
+    }
+
     /// Probability that the server is failing, decayed from the last observation to `now`.
     fn failing_probability_at(&self, now: Duration) -> f64 {
         if self.evidence_at.is_zero() {
@@ -161,16 +176,41 @@
         FAILING_PROBABILITY_BASE + (self.failing_probability - FAILING_PROBABILITY_BASE) * weight
     }
 
+    fn is_suspected_at(&self, now: Duration) -> bool {
+        self.failing_probability_at(now) >= SUSPECTED_PROBABILITY
+    }
+
+    /// Returns the time from which on the server should get a request, and the range of the random
+    /// delay until it does.
+    fn due(&self) -> (Duration, Duration) {
+        let idle_at = self.used_at + DUE_INTERVAL;
+        match idle_at >= self.retry_at {
+            true => (idle_at, DUE_SPREAD),
+            false => (self.retry_at, RETRY_SPREAD),
+        }
+    }
+
     fn usage_at(&self, now: Duration) -> Usage {
-        let may_be_healthy = self.failing_probability_at(now) < SPREAD_FAILING_PROBABILITY_MAX;
-        let is_idle = now.saturating_sub(self.used_at) >= SPREAD_IDLE_TIME;
-        match (may_be_healthy, is_idle) {
-            (true, true) => Usage::Idle,
-            (true, false) => Usage::InUse,
-            (false, _) => Usage::Avoided,
+        if self.is_suspected_at(now) {
+            return Usage::Avoided;
+        }
+        match now < self.used_at + DUE_INTERVAL + DUE_SPREAD {
+            true => Usage::InUse,
+            false => Usage::Idle,
         }
     }
 
+    /// Schedules the next retry if the server is suspected. Failures of requests that were sent
+    /// before the last retry don't postpone it.
+    fn schedule_retry(&mut self, now: Duration) {
+        if !self.is_suspected_at(now) || now < self.retry_at {
+            return;
+        }
+        let longer_delay = self.retry_delay.mul_f64(RETRY_DELAY_FACTOR);
+        self.retry_delay = longer_delay.clamp(RETRY_DELAY_MIN, RETRY_DELAY_MAX);
+        self.retry_at = now + self.retry_delay;
+    }
+
     /// Applies Bayes' rule to an observation with the given likelihoods at a failing and at a
     /// healthy server.
     fn update(&mut self, if_failing: f64, if_healthy: f64, now: Duration) {
@@ -192,14 +232,11 @@
     pub avoided: u32,
 }
 
-/// Usage of a server, as counted when requests are spread.
+/// Usage of a server, for the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Usage {
-    /// Possibly healthy, with recent requests.
     InUse,
-    /// Possibly healthy, without requests for [`SPREAD_IDLE_TIME`].
     Idle,
-    /// Failing probability of at least [`SPREAD_FAILING_PROBABILITY_MAX`].
     Avoided,
 }
 
@@ -207,7 +244,7 @@
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     states: SecondaryMap<ServerKey, ServerState>,
-    services: HashMap<Arc<str>, ServiceState>,
+    request_counts: HashMap<Arc<str>, RequestCount>,
     routes: HashMap<Arc<str>, RouteLatency>,
 }
 
@@ -218,38 +255,25 @@
     samples: f64,
 }
 
-/// Recent outcomes of attempts at all servers of a service.
+/// Recent requests to all servers of a service.
 #[derive(Debug, Default)]
-struct ServiceState {
-    /// Exponentially decayed, as is `failures`.
-    outcomes: f64,
-    failures: f64,
+struct RequestCount {
+    /// Number of requests, exponentially decayed as of `at`.
+    decayed: f64,
     at: Duration,
 }
 
-impl ServiceState {
-    fn record(&mut self, failed: bool, now: Duration) {
-        let weight = decay_factor(now.saturating_sub(self.at), SPREAD_DECAY);
-        self.outcomes = self.outcomes * weight + 1.0;
-        self.failures = self.failures * weight + f64::from(u8::from(failed));
+impl RequestCount {
+    fn record(&mut self, now: Duration) {
+        self.decayed = self.at_time(now) + 1.0;
         self.at = now;
     }
 
-    fn failed_share(&self) -> f64 {
-        self.failures / self.outcomes.max(1.0)
+    fn at_time(&self, now: Duration) -> f64 {
+        self.decayed * decay_factor(now.saturating_sub(self.at), REQUEST_COUNT_DECAY)
     }
 }
 
-/// Returns the share of the possibly healthy servers that must be in use at a given share of
-/// failed attempts.
-fn required_use_share(failed_share: f64) -> f64 {
-    if failed_share <= SPREAD_START_SHARE {
-        return 0.0;
-    }
-    let progress = (failed_share - SPREAD_START_SHARE) / (SPREAD_FULL_SHARE - SPREAD_START_SHARE);
-    (SPREAD_INITIAL_USE_SHARE + (1.0 - SPREAD_INITIAL_USE_SHARE) * progress).min(1.0)
-}
-
 /// Returns the remaining weight of a value of the given age; `decay` is the time constant.
 fn decay_factor(age: Duration, decay: Duration) -> f64 {
     (-age.as_secs_f64() / decay.as_secs_f64()).exp()
@@ -295,7 +319,7 @@
     /// Sets the number of requests that all other daemons together have in flight at a server.
     pub fn set_peer_in_flight(&mut self, key: ServerKey, in_flight: u32, now: Duration) {
         if let Some(state) = self.state(key) {
-            if in_flight > 0 {
+            if in_flight > state.peer_in_flight {
                 state.used_at = now;
             }
             state.peer_in_flight = in_flight;
@@ -307,7 +331,24 @@
         self.states.remove(key);
     }
 
-    /// Applies an observation made by this daemon or reported by another one.
+    /// Applies an observation reported by another daemon, before the load of the same report.
+    pub fn observe_reported(
+        &mut self,
+        server: (ServerKey, &Server),
+        evidence: Evidence,
+        now: Duration,
+    ) {
+        let has_reached_server = !matches!(evidence, Evidence::Overdue | Evidence::Unreachable);
+        if let Some(state) = self.state(server.0) {
+            // A request that started and ended between two reports was never in flight in one.
+            if has_reached_server && state.in_flight() == 0 {
+                state.used_at = now;
+            }
+        }
+        self.observe(server, evidence, now);
+    }
+
+    /// Applies an observation made by this daemon.
     pub fn observe(&mut self, server: (ServerKey, &Server), evidence: Evidence, now: Duration) {
         let (key, server) = server;
         let (service, slots) = (server.entry.service.clone(), server.entry.slots);
@@ -315,13 +356,8 @@
             return;
         };
         let state = entry.or_default();
-        // Further failures of a server already known to be failing don't cause spreading.
-        if state.failing_probability_at(now) < SPREAD_FAILING_PROBABILITY_MAX {
-            let failed = !matches!(evidence, Evidence::Success(_) | Evidence::Overdue);
-            self.services
-                .entry(service)
-                .or_default()
-                .record(failed, now);
+        if evidence != Evidence::Overdue {
+            self.request_counts.entry(service).or_default().record(now);
         }
         match evidence {
             Evidence::Success(relative_latency) => {
@@ -330,10 +366,14 @@
                 state.relative_latency +=
                     (f64::from(relative_latency.0) / 100.0 - state.relative_latency) * gain;
                 state.samples += 1.0;
+                state.retry_at = Duration::ZERO;
+                if !state.is_suspected_at(now) {
+                    state.retry_delay = Duration::ZERO;
+                }
             }
             Evidence::Failure => state.update(FAILURE_RATE_FAILING, FAILURE_RATE_HEALTHY, now),
             // A server that refuses requests while it has free slots is failing.
-            Evidence::Shed if state.own_in_flight + state.peer_in_flight < slots => {
+            Evidence::Shed if state.in_flight() < slots => {
                 state.update(FAILURE_RATE_FAILING, FAILURE_RATE_HEALTHY, now);
             }
             Evidence::Shed => {}
@@ -343,6 +383,9 @@
                 state.evidence_at = now;
             }
         }
+        if evidence.is_negative() {
+            state.schedule_retry(now);
+        }
     }
 
     /// Records the latency of a response and returns it relative to the route's typical latency
@@ -391,16 +434,16 @@
         F: FnMut() -> f64,
     {
         let mean_s = query.typical_latency.as_secs_f64();
-        let needs_spreading = self.needs_spreading(servers, query.service, now);
+        let may_use_due = query.may_retry || self.has_requests_for_all(servers, &query, now);
         let available = servers
             .of_service(query.service)
             .filter(|(k, s)| s.accepts_requests(now) && query.candidates.contains(*k));
         let costs = available.map(|(key, server)| {
-            let (cost_s, choice) = self.cost(key, server, &query, mean_s, now);
-            let cost_s = match needs_spreading && self.is_spread_target(key, now) {
-                true => cost_s - SPREAD_COST_REDUCTION * mean_s,
-                false => cost_s,
-            };
+            let (mut cost_s, choice) = self.cost(key, server, &query, mean_s, now);
+            let is_own_domain = &*server.entry.domain == query.domain;
+            if may_use_due && self.is_due(key, is_own_domain, now, jitter()) {
+                cost_s -= DUE_COST_REDUCTION * mean_s;
+            }
             (cost_s + jitter() * JITTER_COST_MAX * mean_s, choice)
         });
         costs
@@ -408,15 +451,16 @@
             .map(|(_, choice)| choice)
     }
 
-    /// Whether the service has failures and too few of its possibly healthy servers are in use.
-    fn needs_spreading(&self, servers: &Servers, service: &str, now: Duration) -> bool {
-        let failed_share = self.services.get(service).map(ServiceState::failed_share);
-        let required_share = required_use_share(failed_share.unwrap_or_default());
-        if required_share == 0.0 {
-            return false;
-        }
-        let ServerUse { in_use, idle, .. } = self.server_use(servers, service, now);
-        f64::from(in_use) < required_share * f64::from(in_use + idle)
+    /// Whether the service has enough requests for each server to be used within the time in which
+    /// it has to be. With fewer, requests that can't be retried go to the servers that responded
+    /// last.
+    fn has_requests_for_all(&self, servers: &Servers, query: &Query<'_>, now: Duration) -> bool {
+        let requests = self.request_counts.get(query.service);
+        let requests = requests.map_or(0.0, |r| r.at_time(now));
+        let accepting = servers
+            .of_service(query.service)
+            .filter(|(_, s)| s.accepts_requests(now));
+        requests >= accepting.count() as f64
     }
 
     /// Counts the servers of a service that accept requests by their usage.
@@ -436,10 +480,13 @@
         server_use
     }
 
-    /// Whether spreading prefers this server: it is possibly healthy and has no recent requests.
-    fn is_spread_target(&self, key: ServerKey, now: Duration) -> bool {
+    /// Whether a request should go to the server because it hasn't had one for some time. `spread`
+    /// in 0..1 distributes the requests of several daemons over time.
+    fn is_due(&self, key: ServerKey, is_own_domain: bool, now: Duration, spread: f64) -> bool {
+        let waits = if is_own_domain { spread } else { 1.0 + spread };
         let state = self.states.get(key);
-        state.is_none_or(|s| s.usage_at(now) == Usage::Idle)
+        let (due_at, range) = state.map_or((DUE_INTERVAL, DUE_SPREAD), ServerState::due);
+        now >= due_at + range.mul_f64(waits)
     }
 
     fn cost(
@@ -452,7 +499,7 @@
     ) -> (f64, Choice) {
         let default_state = ServerState::default();
         let state = self.states.get(key).unwrap_or(&default_state);
-        let in_flight = state.own_in_flight + state.peer_in_flight;
+        let in_flight = state.in_flight();
         let slots = f64::from(server.entry.slots.max(1));
         let samples = state.samples.min(SERVER_SAMPLES_MAX);
         let relative_latency = (state.relative_latency * samples + SERVER_PRIOR_SAMPLES)
--- a/crates/corianderworks_decision/tests/edge_server_use.rs
+++ b/crates/corianderworks_decision/tests/edge_server_use.rs
@@ -140,9 +140,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Notice {
     Started,
-    Ended,
     Succeeded,
     Failed,
+    Ended,
 }
 
 /// Notice of a request at a server, received by a domain.
@@ -312,9 +312,11 @@
                 Notice::Ended => server.known_in_flight[domain] -= 1,
                 Notice::Succeeded => {
                     let evidence = Evidence::Success(RelativeLatency(100));
-                    load_balancer.observe((key, listed), evidence, at);
+                    load_balancer.observe_reported((key, listed), evidence, at);
+                }
+                Notice::Failed => {
+                    load_balancer.observe_reported((key, listed), Evidence::Failure, at);
                 }
-                Notice::Failed => load_balancer.observe((key, listed), Evidence::Failure, at),
             }
             if matches!(notice, Notice::Started | Notice::Ended) {
                 load_balancer.set_peer_in_flight(key, server.known_in_flight[domain], at);
@@ -383,16 +385,18 @@
                 self.events.push(Reverse((at, domain, index, notice)));
             };
             if fails {
-                // The relays report a request that ends at once only by its failure.
                 push(
                     ended_at + delay.min(OTHER_DOMAIN_FAILURE_DELAY),
                     Notice::Failed,
                 );
                 continue;
             }
-            push(now + delay, Notice::Started);
-            push(ended_at + delay, Notice::Ended);
             push(ended_at + delay, Notice::Succeeded);
+            // A request that ends before the report of its start is sent is never in flight in one.
+            if now + delay < ended_at {
+                push(now + delay, Notice::Started);
+                push(ended_at + delay, Notice::Ended);
+            }
         }
     }
 
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -433,11 +433,11 @@
             return None;
         }
         state.fleet.record_report(report.origin, report.status, now);
-        let changed = state.peer_load.apply(report);
-        state.update_peer_in_flight(&changed, now);
         for (tag, evidence) in &report.evidence {
             state.observe_tag(*tag, *evidence, now);
         }
+        let changed = state.peer_load.apply(report);
+        state.update_peer_in_flight(&changed, now);
         for (tag, counts) in &report.counts {
             state.budget.apply_counts(report.origin, *tag, *counts, now);
         }
@@ -488,7 +488,8 @@
             return;
         };
         if let Some(server) = self.servers.get(key) {
-            self.load_balancer.observe((key, server), evidence, now);
+            self.load_balancer
+                .observe_reported((key, server), evidence, now);
         }
     }
 
