Test who uses an idle server, when a suspected one is retried, and when nobody is

These tests name the single rules: the own domain goes first, retry delays of 3 and 4.5 s plus half of 500 ms, requests that can't be retried with too few requests for all servers, and requests that ended between two reports. No code is changed.

--- a/crates/corianderworks_decision/tests/edge_load_balancer.rs
+++ b/crates/corianderworks_decision/tests/edge_load_balancer.rs
@@ -319,3 +319,122 @@
     // At least 70% of the 6 healthy servers must be used, which is 5.
     assert!(used.len() >= 5, "{} of 6 used", used.len());
 }
+
+/// Returns the server chosen for a request of domain `a`. The random delay of due servers is half
+/// of its range.
+fn chosen(
+    load_balancer: &LoadBalancer,
+    servers: &Servers,
+    may_retry: bool,
+    at: Duration,
+) -> ServerKey {
+    load_balancer
+        .choose(servers, query(may_retry), at, || 0.5)
+        .expect("a server")
+        .key
+}
+
+/// Records a request that succeeded at once.
+fn succeed(load_balancer: &mut LoadBalancer, servers: &Servers, key: ServerKey, at: Duration) {
+    load_balancer.attempt_started(key, at);
+    load_balancer.attempt_ended(key);
+    observe(
+        load_balancer,
+        servers,
+        key,
+        Evidence::Success(RelativeLatency(100)),
+        at,
+    );
+}
+
+#[test]
+fn idle_server_gets_a_request_from_its_own_domain_first() {
+    let mut servers = Servers::new();
+    let near = add(&mut servers, "near", "a");
+    let far = add(&mut servers, "far", "b");
+    let mut load_balancer = LoadBalancer::new();
+    succeed(&mut load_balancer, &servers, near, at_ms(1_000));
+    succeed(&mut load_balancer, &servers, far, at_ms(1_000));
+    // Both have been idle for the same time; in domain `a`, only the near one is due.
+    let at = at_ms(2_400);
+    assert_eq!(chosen(&load_balancer, &servers, true, at), near);
+    succeed(&mut load_balancer, &servers, near, at);
+    assert_eq!(chosen(&load_balancer, &servers, true, at), near);
+    // The daemons of domain `b` have had time to use the far one.
+    assert_eq!(chosen(&load_balancer, &servers, true, at_ms(2_700)), far);
+}
+
+#[test]
+fn suspected_server_is_retried_after_a_delay_that_grows() {
+    let mut servers = Servers::new();
+    let failing = add(&mut servers, "failing", "a");
+    let healthy = add(&mut servers, "healthy", "a");
+    let mut load_balancer = LoadBalancer::new();
+    let mut retries = Vec::new();
+    for evidence in [Evidence::Failure, Evidence::Failure] {
+        observe(&mut load_balancer, &servers, failing, evidence, at_ms(1));
+    }
+    for i in 0..1_200 {
+        let now = at_ms(10 + i * 10);
+        let key = chosen(&load_balancer, &servers, true, now);
+        if key == failing {
+            retries.push(now);
+            load_balancer.attempt_started(key, now);
+            load_balancer.attempt_ended(key);
+            observe(&mut load_balancer, &servers, key, Evidence::Failure, now);
+        } else {
+            succeed(&mut load_balancer, &servers, healthy, now);
+        }
+    }
+    let delays: Vec<_> = std::iter::once(&at_ms(1))
+        .chain(&retries)
+        .zip(&retries)
+        .map(|(from, to)| (*to - *from).as_millis() / 100)
+        .collect();
+    // Each delay includes 250 ms, half of the range of the random delay.
+    assert_eq!(delays, [32, 47], "{retries:?}");
+}
+
+#[test]
+fn requests_that_cannot_be_retried_avoid_idle_servers_if_there_are_few() {
+    let mut servers = Servers::new();
+    let keys: Vec<_> = (0..10)
+        .map(|i| add(&mut servers, &format!("s{i}"), "a"))
+        .collect();
+    let mut load_balancer = LoadBalancer::new();
+    for key in &keys {
+        succeed(&mut load_balancer, &servers, *key, at_ms(1));
+    }
+    let mut last = keys[0];
+    // Two requests a second are too few to use all ten servers within 2 s.
+    for i in 20..40_u64 {
+        let now = at_ms(i * 500);
+        let key = chosen(&load_balancer, &servers, false, now);
+        assert!(i == 20 || key == last, "at {now:?}");
+        last = key;
+        succeed(&mut load_balancer, &servers, key, now);
+    }
+    let now = at_ms(20_000);
+    assert_ne!(chosen(&load_balancer, &servers, true, now), last);
+}
+
+#[test]
+fn reported_response_counts_as_use_if_the_request_was_never_in_flight() {
+    let mut servers = Servers::new();
+    let keys = [add(&mut servers, "s1", "a"), add(&mut servers, "s2", "a")];
+    let mut load_balancer = LoadBalancer::new();
+    let success = Evidence::Success(RelativeLatency(100));
+    for key in keys {
+        succeed(&mut load_balancer, &servers, key, at_ms(1_000));
+    }
+    let listed = |key| (key, servers.get(key).expect("server is listed"));
+    // The first server has had a short request, the second one a long one that has ended.
+    load_balancer.observe_reported(listed(keys[0]), success, at_ms(2_000));
+    load_balancer.set_peer_in_flight(keys[1], 1, at_ms(1_000));
+    load_balancer.observe_reported(listed(keys[1]), success, at_ms(2_000));
+    load_balancer.set_peer_in_flight(keys[1], 0, at_ms(2_000));
+    assert_eq!(
+        chosen(&load_balancer, &servers, true, at_ms(2_400)),
+        keys[1]
+    );
+}
