--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -18,6 +18,16 @@
 /// Time for which a server processes a request.
 const PROCESSING_MS: std::ops::Range<u64> = 2..40;
 
+/// Starts of responses that have no end, and the bytes that are repeated after them.
+const ENDLESS_RESPONSES: [(&str, &str); 3] = [
+    ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nname: ", "x"),
+    (
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "4\r\nxxxx\r\n",
+    ),
+];
+
 /// How a server responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -26,7 +36,7 @@
     ServerError,
     /// Responds with status 503 without executing the request.
     Reject,
-    /// Executes the request and does not respond.
+    /// Executes the request, then does not respond or sends bytes without end.
     Hang,
     /// Executes the request and closes the connection before the end of the response.
     Truncate,
@@ -96,6 +106,7 @@
         while let Some(request) = HttpMessage::read(&mut stream, &mut buffer).await {
             let response_mode = self.choose_response_mode();
             let Some(response) = self.respond(&request, response_mode).await else {
+                send_without_end(&mut stream).await;
                 return;
             };
             if stream.write_all(&response).await.is_err() || response_mode == ResponseMode::Truncate
@@ -140,7 +151,9 @@
         match response_mode {
             ResponseMode::ServerError => Some(response(500, &id, Some(&id), "failed")),
             ResponseMode::Hang => {
-                tokio::time::sleep(Duration::from_secs(30)).await;
+                if rand::rng().random_bool(0.5) {
+                    tokio::time::sleep(Duration::from_secs(30)).await;
+                }
                 None
             }
             ResponseMode::Truncate => {
@@ -154,6 +167,17 @@
     }
 }
 
+/// Sends bytes of a response that has no end until the daemon closes the connection.
+async fn send_without_end(stream: &mut TcpStream) {
+    let kind = rand::rng().random_range(0..ENDLESS_RESPONSES.len());
+    let (start, repeated) = ENDLESS_RESPONSES[kind];
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    let part = repeated.repeat(1_000);
+    while stream.write_all(part.as_bytes()).await.is_ok() {}
+}
+
 /// Response body for a successful request; callers compare it with what they receive.
 pub fn body_of(id: &str, path: &str) -> String {
     format!("{id} {path} {}", "x".repeat(200))
