Let a server that joins wait before it is due for a request

Callers: a new server got up to 12 requests within one service time, more than its 2 slots and 8 places in the queue hold, so some were refused and sent to another server.

Cause: a server without observations counted as idle since the start of the clock, so on the change before all daemons considered it due at the moment at which it was listed; the random delay of due servers has no effect then. It is the same cause as the bursts of tries of suspected servers: all daemons act on the same report at the same moment.

Change: a listed server counts as used at that time.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -326,6 +326,14 @@
         }
     }
 
+    /// Adds a server to the list. It counts as used now: all daemons learn of it at the same time,
+    /// and without the wait each of them would consider it due.
+    pub fn add_server(&mut self, key: ServerKey, now: Duration) {
+        if let Some(state) = self.state(key) {
+            state.used_at = now;
+        }
+    }
+
     /// Discards the load and observations of a server that left the list.
     pub fn remove_server(&mut self, key: ServerKey) {
         self.states.remove(key);
--- a/crates/corianderworks_decision/tests/edge_server_use.rs
+++ b/crates/corianderworks_decision/tests/edge_server_use.rs
@@ -52,8 +52,8 @@
     failing_share: f64,
     /// Mean length of the failures of a server.
     failing_for: Duration,
-    /// Time at which a third of the servers are replaced by new ones.
-    release_at: Option<Duration>,
+    /// Time at which servers of each service are replaced by new ones, and their number.
+    release: Option<(Duration, usize)>,
     length: Duration,
 }
 
@@ -67,7 +67,7 @@
     may_retry: true,
     failing_share: 0.3,
     failing_for: Duration::from_secs(12),
-    release_at: None,
+    release: None,
     length: Duration::from_secs(40),
 };
 
@@ -211,7 +211,10 @@
             cold: Duration::ZERO,
         };
         let add = |domain: &mut Domain| match domain.servers.upsert(entry.clone(), now) {
-            Change::Added(key) => key,
+            Change::Added(key) => {
+                domain.load_balancer.add_server(key, now);
+                key
+            }
             other => panic!("{other:?}"),
         };
         let keys: Vec<_> = self.domains.iter_mut().map(add).collect();
@@ -254,12 +257,11 @@
     fn run(mut self) -> Self {
         let total_per_s = self.workload.requests_per_s * self.workload.services as f64;
         let mut now = Duration::ZERO;
-        let mut release_at = self.workload.release_at;
+        let mut release = self.workload.release;
         while now < self.workload.length {
             now += Duration::from_secs_f64(-(1.0 - self.random.random::<f64>()).ln() / total_per_s);
-            if release_at.is_some_and(|at| at <= now) {
-                release_at = None;
-                self.replace_servers(now);
+            if let Some((_, count)) = release.take_if(|(at, _)| *at <= now) {
+                self.replace_servers(count, now);
             }
             self.deliver_notices(now);
             self.send_request(now);
@@ -274,13 +276,12 @@
         self
     }
 
-    fn replace_servers(&mut self, now: Duration) {
-        let replaced = self.workload.servers / 3;
+    fn replace_servers(&mut self, count: usize, now: Duration) {
         for service in 0..self.workload.services {
             let mut of_service = (0..self.servers.len())
                 .filter(|i| self.servers[*i].service == service)
                 .collect::<Vec<_>>();
-            of_service.truncate(replaced);
+            of_service.truncate(count);
             for index in of_service {
                 self.servers[index].removed_at = now;
                 let key = self.servers[index].key;
@@ -536,10 +537,9 @@
 
 #[test]
 fn new_servers_leave_the_older_ones_in_use() {
-    let release_at = Some(Duration::from_secs(20));
     let workloads = GROWN_SERVICES.map(|(name, workload)| {
         let with_release = Workload {
-            release_at,
+            release: Some((Duration::from_secs(20), workload.servers / 3)),
             ..workload
         };
         (name, with_release)
@@ -551,3 +551,29 @@
 fn most_healthy_servers_are_in_use_at_full_size() {
     assert_most_servers_are_used([("full size", FULL_SIZE)], 1..=1);
 }
+
+/// Requests that a server of these workloads has in its slots and its queue at the same time.
+const QUEUE_LENGTH_MAX: usize = 8;
+
+#[test]
+fn new_server_is_not_flooded() {
+    for (name, workload) in GROWN_SERVICES {
+        let workload = Workload {
+            release: Some((Duration::from_secs(5), 1)),
+            length: Duration::from_secs(7),
+            ..workload
+        };
+        for seed in 1..=8 {
+            let simulation = Simulation::new(workload, seed).run();
+            let added = simulation.servers.iter().filter(|s| !s.listed_at.is_zero());
+            let first_requests = added.map(|s| {
+                let until = s.listed_at + workload.service_time;
+                s.used_at.iter().filter(|at| **at < until).count()
+            });
+            let most = first_requests.max().expect("an added server");
+            let limit = workload.slots as usize + QUEUE_LENGTH_MAX;
+            println!("{name}, seed {seed}: {most} requests");
+            assert!(most <= limit, "{name}, seed {seed}: {most} requests");
+        }
+    }
+}
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -226,7 +226,7 @@
         let now = self.clock.now();
         let mut state = self.lock_state();
         let change = state.servers.upsert(entry, now);
-        handle_change(&mut state, &change, source);
+        handle_change(&mut state, &change, source, now);
     }
 
     /// Handles the removal of a backend server's entry from the store. The server is kept for
@@ -243,7 +243,7 @@
                 "servers: entry removed from the store"
             );
         }
-        handle_change(&mut state, &change, source);
+        handle_change(&mut state, &change, source, now);
     }
 
     /// Replaces all backend servers by those of a complete listing of the store.
@@ -252,7 +252,7 @@
         let mut state = self.lock_state();
         let changes = state.servers.replace_all(entries, now);
         for change in &changes {
-            handle_change(&mut state, change, source);
+            handle_change(&mut state, change, source, now);
         }
     }
 
@@ -397,11 +397,14 @@
     }
 }
 
-/// Logs a change of a backend server and drops the load of a removed one.
-fn handle_change(state: &mut EdgeState, change: &Change, source: &'static str) {
+/// Logs a change of a backend server, and tells the load balancer of an added or removed one.
+fn handle_change(state: &mut EdgeState, change: &Change, source: &'static str, now: Duration) {
     let (what, key) = match change {
         Change::Unchanged => return,
-        Change::Added(key) => ("added", *key),
+        Change::Added(key) => {
+            state.load_balancer.add_server(*key, now);
+            ("added", *key)
+        }
         Change::Updated(key) => ("updated", *key),
         Change::Draining(key) => ("draining", *key),
         Change::Lapsed(key) => ("lapsed", *key),
