--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -12,6 +12,11 @@
 //! failure times the probability of one. Servers that have just responded are therefore
 //! preferred to servers without recent observations, and a failing server is used only when
 //! all others are full.
+//!
+//! By cost alone, many healthy servers would get nothing for seconds. A server that had no
+//! request for some time is therefore due for one, and a server that is suspected to fail is due
+//! for a retry after a longer time. The daemons see the same reports, so each request draws the
+//! time at which it considers a server due at random.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -73,8 +78,8 @@
 /// Failing probability from which on a server is suspected: it is due only when its retry time has
 /// come.
 const SUSPECTED_PROBABILITY: f64 = 0.4;
-/// Same for the retry of a suspected server. Longer, because each further request to it probably
-/// fails.
+/// Range of the random delay before a suspected server is retried. Longer than [`DUE_SPREAD`],
+/// because each further request to it probably fails.
 const RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Bounds of the time until a suspected server is retried.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(3_000);
@@ -133,7 +138,7 @@
     failing_probability: f64,
     /// Zero if nothing was observed yet.
     evidence_at: Duration,
-    /// Time at which any daemon last sent a request to the server.
+    /// Time at which any daemon last sent a request to the server, or at which it was listed.
     used_at: Duration,
     /// Earliest time of the next retry, if the server is suspected.
     retry_at: Duration,
@@ -192,7 +197,7 @@
 
     fn usage_at(&self, now: Duration) -> Usage {
         if self.is_suspected_at(now) {
-            return Usage::Avoided;
+            return Usage::Suspected;
         }
         match now < self.used_at + DUE_INTERVAL + DUE_SPREAD {
             true => Usage::InUse,
@@ -228,8 +233,8 @@
     pub in_use: u32,
     /// Servers that may be healthy and have no recent requests.
     pub idle: u32,
-    /// Servers that are probably failing.
-    pub avoided: u32,
+    /// Servers that are suspected to fail.
+    pub suspected: u32,
 }
 
 /// Usage of a server, for the metrics.
@@ -237,7 +242,7 @@
 enum Usage {
     InUse,
     Idle,
-    Avoided,
+    Suspected,
 }
 
 /// Tracks load and failures per backend server and chooses the server of each attempt.
@@ -290,8 +295,7 @@
     pub in_flight: u32,
     /// Probability that the server is failing.
     pub failing_probability: f64,
-    /// Time since any daemon last sent a request to the server; since the start of the clock if
-    /// none is known.
+    /// Time since any daemon last sent a request to the server, or since it was listed.
     pub idle_for: Duration,
 }
 
@@ -482,7 +486,7 @@
             match state.map_or(Usage::Idle, |s| s.usage_at(now)) {
                 Usage::InUse => server_use.in_use += 1,
                 Usage::Idle => server_use.idle += 1,
-                Usage::Avoided => server_use.avoided += 1,
+                Usage::Suspected => server_use.suspected += 1,
             }
         }
         server_use
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -103,7 +103,7 @@
         let counts = [
             ("in-use", server_use.in_use),
             ("idle", server_use.idle),
-            ("avoided", server_use.avoided),
+            ("suspected", server_use.suspected),
         ];
         for (usage, count) in counts {
             let labels = [
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -172,7 +172,7 @@
     tokio::time::sleep(Duration::from_millis(2_000)).await;
     assert_eq!(daemon.fetch(&get("/read/x", "r1")).await.status, 200);
     let text = daemon.edge.metrics_text().expect("metrics");
-    for (label, count) in [("in-use", 1), ("idle", 1), ("avoided", 0)] {
+    for (label, count) in [("in-use", 1), ("idle", 1), ("suspected", 0)] {
         let line =
             format!("corianderworks_edge_servers{{service=\"ledger\",use=\"{label}\"}} {count}");
         assert!(text.lines().any(|l| l == line), "{line} not in\n{text}");
