--- a/crates/corianderworks_edge/tests/endless_responses.rs
+++ b/crates/corianderworks_edge/tests/endless_responses.rs
@@ -39,8 +39,7 @@
     ),
     (
         "chunk extensions",
-        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\
-         Transfer-Encoding: chunked\r\n\r\n",
+        SIGNED_HEAD,
         "1;name=0123456789012345678901234567890123456789012345678901234567890123\r\nx\r\n",
     ),
     (
