--- a/crates/corianderworks_decision/src/edge/admission.rs
+++ b/crates/corianderworks_decision/src/edge/admission.rs
@@ -51,3 +51,9 @@
     base.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
         .mul_f64(1.0 + jitter)
 }
+
+/// Returns the retry-after time of a request whose service takes requests again after `pause`. An
+/// earlier retry would only be refused once more.
+pub fn retry_after_pause(pause: Duration, jitter: f64) -> Duration {
+    pause + RETRY_AFTER_MIN.mul_f64(1.0 + jitter)
+}
--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -61,6 +61,8 @@
     pub in_flight: Vec<(ServerTag, u16)>,
     /// Observations since the last report.
     pub evidence: Vec<(ServerTag, Evidence)>,
+    /// Servers that said in a response that they are shutting down.
+    pub leaving: Vec<ServerTag>,
     /// Requests and retries per service, for the shared retry budget.
     pub counts: Vec<(ServiceTag, ReportedCounts)>,
     /// State of the store, if the daemon has just read it.
@@ -68,11 +70,10 @@
 }
 
 impl Report {
-    /// Whether any observation in the report indicates a problem with a server.
+    /// Whether the report tells of servers that other daemons should avoid at once.
     pub fn has_failures(&self) -> bool {
-        self.evidence
-            .iter()
-            .any(|(_, evidence)| evidence.is_negative())
+        let has_negative = self.evidence.iter().any(|(_, e)| e.is_negative());
+        has_negative || (!self.complete && !self.leaving.is_empty())
     }
 }
 
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -43,12 +43,29 @@
     pub priority: u32,
     /// Maximum number of backend servers that one request may be sent to.
     pub attempts_max: u32,
-    /// Services that share the route's traffic; not empty.
+    /// Services that share the route's traffic. Empty if the route is malformed and its requests
+    /// are refused.
     pub split: Vec<WeightedService>,
 }
 
 impl Route {
-    /// Selects the service for a request by weight; `point` is uniformly distributed in 0..1.
+    /// Creates a route that refuses all requests that match it. They must not fall through to a
+    /// route with a shorter prefix, which may lead to another service.
+    pub fn refusing(name: Arc<str>, path_prefix: String) -> Self {
+        Self {
+            name,
+            path_prefix,
+            idempotency: Idempotency::NonIdempotent,
+            timeout: Duration::ZERO,
+            latency_objective: Duration::ZERO,
+            priority: 0,
+            attempts_max: 1,
+            split: Vec::new(),
+        }
+    }
+
+    /// Selects the service for a request by weight, or returns `None` if the route refuses all
+    /// requests. `point` is uniformly distributed in 0..1.
     pub fn select_service(&self, point: f64) -> Option<&Arc<str>> {
         let total: u64 = self.split.iter().map(|p| u64::from(p.weight)).sum();
         let mut remaining = point * total as f64;
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -3,6 +3,11 @@
 //! While the store is unreachable, the entry of a server may lapse although the server is
 //! running. Such a server registers again shortly after the store recovers and is kept in use
 //! until then.
+//!
+//! Entries arrive from the store and from other daemons, in any order. Store revisions order them:
+//! an entry or a removal that is older than what is known is ignored, also if the server has left
+//! since. What a server says of itself in its responses ([`Announcement`]) holds for the run of the
+//! server, whatever its entry says.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +22,9 @@
 /// Time after the store recovers for which servers with a lapsed entry are kept. The platform
 /// guarantees that running servers are registered again about 2 s after the store recovers.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+/// Time for which a removed server is remembered, so that neither a delayed entry nor a new entry
+/// of the same run brings it back. Daemons are silent for minutes in network partitions.
+const REMOVED_MEMORY: Duration = Duration::from_secs(15 * 60);
 
 new_key_type! {
     /// Key of a run of a backend server; only valid within one daemon.
@@ -28,6 +36,8 @@
 pub struct ServerEntry {
     /// Id of the server; a new run may register under the same id.
     pub id: Arc<str>,
+    /// Store revision of the entry; the highest one is the latest.
+    pub revision: u64,
     /// Start of the run as Unix time in milliseconds; distinguishes runs with the same id.
     pub started_unix_ms: u64,
     /// Name of the service that the server runs.
@@ -51,6 +61,46 @@
     }
 }
 
+/// What a server says of itself in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Announcement {
+    /// It is shutting down and takes no new requests.
+    Leaving,
+    /// It wants no requests from this daemon until this time.
+    PausedUntil(Duration),
+}
+
+/// Announcements of a run of a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Announced {
+    leaving: bool,
+    paused_until: Duration,
+}
+
+impl Announced {
+    fn record(&mut self, announcement: Announcement) {
+        match announcement {
+            Announcement::Leaving => self.leaving = true,
+            Announcement::PausedUntil(until) => self.paused_until = self.paused_until.max(until),
+        }
+    }
+}
+
+/// Whether new requests may be sent to a server, and why not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// It takes requests.
+    Open,
+    /// It wants no requests from this daemon until this time.
+    Paused(Duration),
+    /// It said in a response that it is shutting down.
+    Leaving,
+    /// Its entry says that it is shutting down.
+    Draining,
+    /// Its entry lapsed and was not renewed in time.
+    Lapsed,
+}
+
 /// A backend server as tracked by this daemon.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -60,15 +110,41 @@
     pub cold_until: Duration,
     /// Time at which the server is removed, if its entry lapsed around a store outage.
     expires_at: Option<Duration>,
+    announced: Announced,
 }
 
 impl Server {
+    /// Returns whether new requests may be sent to the server, and why not.
+    pub fn availability(&self, now: Duration) -> Availability {
+        if self.announced.leaving {
+            Availability::Leaving
+        } else if self.entry.draining {
+            Availability::Draining
+        } else if self.expires_at.is_some_and(|at| now >= at) {
+            Availability::Lapsed
+        } else if now < self.announced.paused_until {
+            Availability::Paused(self.announced.paused_until)
+        } else {
+            Availability::Open
+        }
+    }
+
     /// Whether new requests may be sent to the server.
     pub fn accepts_requests(&self, now: Duration) -> bool {
-        !self.entry.draining && self.expires_at.is_none_or(|at| now < at)
+        self.availability(now) == Availability::Open
     }
 }
 
+/// A server that was removed.
+#[derive(Debug)]
+struct Removed {
+    /// Store revision up to which entries under the id are outdated.
+    revision: u64,
+    started_unix_ms: u64,
+    announced: Announced,
+    at: Duration,
+}
+
 /// Result of applying an update to [`Servers`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -94,6 +170,11 @@
     by_id: HashMap<Arc<str>, ServerKey>,
     by_tag: HashMap<ServerTag, ServerKey>,
     by_service: HashMap<Arc<str>, Vec<ServerKey>>,
+    /// Servers that were removed recently, by id.
+    removed: HashMap<Arc<str>, Removed>,
+    /// Store revision of the latest list. Unknown entries up to it belong to servers that had been
+    /// removed by then.
+    listed_revision: u64,
     /// Time at which the store became reachable again after an outage.
     store_recovered_at: Option<Duration>,
     store_reachable: bool,
@@ -160,22 +241,34 @@
         self.arena.is_empty()
     }
 
-    /// Adds or updates the server of an entry. An entry of an earlier run is ignored.
+    /// Adds or updates the server of an entry. An entry of an earlier run or with an outdated
+    /// revision is ignored.
     pub fn upsert(&mut self, entry: ServerEntry, now: Duration) -> Change {
-        let Some(&key) = self.by_id.get(&entry.id) else {
-            return Change::Added(self.insert(entry, now));
-        };
-        let Some(server) = self.arena.get_mut(key) else {
+        let is_listed = self.by_id.contains_key(&entry.id);
+        let removed = self.removed.get(&entry.id);
+        let is_outdated = entry.revision <= self.listed_revision
+            || removed.is_some_and(|r| entry.revision <= r.revision);
+        if !is_listed && is_outdated {
+            return Change::Unchanged;
+        }
+        self.add_or_update(entry, now)
+    }
+
+    fn add_or_update(&mut self, entry: ServerEntry, now: Duration) -> Change {
+        let known = self.by_id.get(&entry.id).copied();
+        let Some((key, server)) = known.and_then(|k| Some((k, self.arena.get_mut(k)?))) else {
             return Change::Added(self.insert(entry, now));
         };
-        if entry.started_unix_ms < server.entry.started_unix_ms {
+        if entry.started_unix_ms < server.entry.started_unix_ms
+            || entry.revision < server.entry.revision
+        {
             return Change::Unchanged;
         }
         let is_other_run = entry.started_unix_ms > server.entry.started_unix_ms
             || entry.address != server.entry.address
             || entry.service != server.entry.service;
         if is_other_run {
-            self.remove_server(key);
+            self.remove_server(key, now);
             return Change::Added(self.insert(entry, now));
         }
         server.expires_at = None;
@@ -190,6 +283,34 @@
         }
     }
 
+    /// Records what a server said of itself. Returns whether it is new.
+    pub fn announce(&mut self, key: ServerKey, announcement: Announcement) -> bool {
+        let Some(server) = self.arena.get_mut(key) else {
+            return false;
+        };
+        let before = server.announced;
+        server.announced.record(announcement);
+        server.announced != before
+    }
+
+    /// Returns the servers that said that they are shutting down.
+    pub fn leaving(&self) -> impl Iterator<Item = &ServerEntry> {
+        let leaving = self.arena.values().filter(|s| s.announced.leaving);
+        leaving.map(|s| &s.entry)
+    }
+
+    /// Returns the time at which the first paused server of a service takes requests again, or
+    /// `None` if none is paused.
+    pub fn next_opening(&self, service: &str, now: Duration) -> Option<Duration> {
+        let opening = |server: &Server| match server.availability(now) {
+            Availability::Paused(until) => Some(until),
+            _ => None,
+        };
+        self.of_service(service)
+            .filter_map(|(_, server)| opening(server))
+            .min()
+    }
+
     /// Returns the time for which the server of an entry that is missing now is kept, because
     /// the entry may have lapsed in a store outage. Zero without a recent outage.
     pub fn lapse_grace(&self, now: Duration) -> Duration {
@@ -197,22 +318,30 @@
         ends.map_or(Duration::ZERO, |ends| ends.saturating_sub(now))
     }
 
-    /// Handles the removal of an entry from the store. The server is kept for `grace`, unless
-    /// it was draining.
-    pub fn remove_entry(&mut self, id: &str, grace: Duration, now: Duration) -> Change {
-        let Some(&key) = self.by_id.get(id) else {
+    /// Handles the removal of an entry from the store as of `revision`. The server is kept for
+    /// `grace`, unless it was draining. A removal that is older than the known entry is ignored.
+    pub fn remove_entry(
+        &mut self,
+        id: &str,
+        revision: u64,
+        grace: Duration,
+        now: Duration,
+    ) -> Change {
+        let known = self.by_id.get(id).copied();
+        let Some((key, server)) = known.and_then(|k| Some((k, self.arena.get_mut(k)?))) else {
+            self.remember_removal(id.into(), revision, now);
             return Change::Unchanged;
         };
-        match self.arena.get_mut(key) {
-            Some(server) if !grace.is_zero() && !server.entry.draining => {
-                server.expires_at.get_or_insert(now + grace);
-                Change::Lapsed(key)
-            }
-            _ => {
-                self.remove_server(key);
-                Change::Removed(key)
-            }
+        if revision < server.entry.revision {
+            return Change::Unchanged;
+        }
+        server.entry.revision = revision;
+        if !grace.is_zero() && !server.entry.draining {
+            server.expires_at.get_or_insert(now + grace);
+            return Change::Lapsed(key);
         }
+        self.remove_server(key, now);
+        Change::Removed(key)
     }
 
     /// Returns a digest of all entries that are in the store. It doesn't depend on their order.
@@ -221,9 +350,10 @@
         listed.fold(0, |digest, server| digest ^ entry_digest(&server.entry))
     }
 
-    /// Replaces all entries. Servers that are missing from `entries` are removed, or lapse
-    /// within the grace period after a store outage.
-    pub fn replace_all<I>(&mut self, entries: I, now: Duration) -> Vec<Change>
+    /// Replaces all entries by a list of the store as of `revision`. Servers that are missing from
+    /// `entries` are removed, or lapse within the grace period after a store outage. Entries that
+    /// are newer than the list are kept.
+    pub fn replace_all<I>(&mut self, entries: I, revision: u64, now: Duration) -> Vec<Change>
     where
         I: IntoIterator<Item = ServerEntry>,
     {
@@ -233,8 +363,17 @@
             entries.iter().map(|e| e.id.clone()).collect();
         let mut missing: Vec<_> = self.by_id.keys().cloned().collect();
         missing.retain(|id| !listed.contains(id));
-        let mut changes: Vec<_> = entries.into_iter().map(|e| self.upsert(e, now)).collect();
-        changes.extend(missing.iter().map(|id| self.remove_entry(id, grace, now)));
+        let mut changes = Vec::new();
+        for entry in entries {
+            let removed = self.removed.get(&entry.id);
+            if removed.is_none_or(|r| r.revision <= revision) {
+                changes.push(self.add_or_update(entry, now));
+            }
+        }
+        for id in &missing {
+            changes.push(self.remove_entry(id, revision, grace, now));
+        }
+        self.listed_revision = self.listed_revision.max(revision);
         changes
     }
 
@@ -248,18 +387,23 @@
             .map(|(k, _)| k)
             .collect();
         for key in &keys {
-            self.remove_server(*key);
+            self.remove_server(*key, now);
         }
+        self.removed
+            .retain(|_, r| now.saturating_sub(r.at) < REMOVED_MEMORY);
         keys
     }
 
     fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let tag = entry.tag();
+        let removed = self.removed.remove(&id);
+        let same_run = removed.filter(|r| r.started_unix_ms == entry.started_unix_ms);
         let key = self.arena.insert(Server {
             cold_until: now + entry.cold,
             entry,
             expires_at: None,
+            announced: same_run.map(|r| r.announced).unwrap_or_default(),
         });
         self.by_id.insert(id, key);
         self.by_tag.insert(tag, key);
@@ -267,15 +411,36 @@
         key
     }
 
-    fn remove_server(&mut self, key: ServerKey) {
-        let Some(server) = self.arena.remove(key) else {
+    /// Remembers the removal of an unknown server, whose entry may arrive late.
+    fn remember_removal(&mut self, id: Arc<str>, revision: u64, now: Duration) {
+        let removed = self.removed.entry(id).or_insert(Removed {
+            revision,
+            started_unix_ms: 0,
+            announced: Announced::default(),
+            at: now,
+        });
+        removed.revision = removed.revision.max(revision);
+    }
+
+    fn remove_server(&mut self, key: ServerKey, now: Duration) {
+        let Some(Server {
+            entry, announced, ..
+        }) = self.arena.remove(key)
+        else {
             return;
         };
-        self.by_id.remove(&server.entry.id);
-        self.by_tag.remove(&server.entry.tag());
-        if let Some(keys) = self.by_service.get_mut(&server.entry.service) {
+        self.by_id.remove(&entry.id);
+        self.by_tag.remove(&entry.tag());
+        if let Some(keys) = self.by_service.get_mut(&entry.service) {
             keys.retain(|k| *k != key);
         }
+        let removed = Removed {
+            revision: entry.revision,
+            started_unix_ms: entry.started_unix_ms,
+            announced,
+            at: now,
+        };
+        self.removed.insert(entry.id, removed);
     }
 }
 
--- a/crates/corianderworks_decision/tests/edge_floor.rs
+++ b/crates/corianderworks_decision/tests/edge_floor.rs
@@ -150,6 +150,7 @@
 fn add(servers: &mut Servers, index: usize, slots: u32) -> ServerKey {
     let entry = ServerEntry {
         id: format!("s{index}").into(),
+        revision: 1,
         started_unix_ms: 1_000,
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
--- a/crates/corianderworks_decision/tests/edge_load_balancer.rs
+++ b/crates/corianderworks_decision/tests/edge_load_balancer.rs
@@ -15,6 +15,7 @@
 fn entry(id: &str, domain: &str) -> ServerEntry {
     ServerEntry {
         id: id.into(),
+        revision: 1,
         started_unix_ms: 1_000,
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
--- a/crates/corianderworks_decision/tests/edge_server_use/simulation.rs
+++ b/crates/corianderworks_decision/tests/edge_server_use/simulation.rs
@@ -144,6 +144,7 @@
         let index = self.servers.len();
         let entry = ServerEntry {
             id: format!("s{index}").into(),
+            revision: 1,
             started_unix_ms: 1_000,
             service: self.service_names[service].as_str().into(),
             address: SocketAddr::from(([10, 0, 0, 1], 80)),
@@ -229,7 +230,7 @@
                 let key = self.servers[index].key;
                 for domain in &mut self.domains {
                     let id = format!("s{index}");
-                    let removed = domain.servers.remove_entry(&id, Duration::ZERO, now);
+                    let removed = domain.servers.remove_entry(&id, 1, Duration::ZERO, now);
                     assert_eq!(removed, Change::Removed(key));
                     domain.load_balancer.remove_server(key);
                 }
--- a/crates/corianderworks_decision/tests/edge_servers.rs
+++ b/crates/corianderworks_decision/tests/edge_servers.rs
@@ -3,11 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use corianderworks_decision::edge::servers::{Change, ServerEntry, Servers};
+use corianderworks_decision::edge::servers::{
+    Announcement, Availability, Change, ServerEntry, ServerKey, Servers,
+};
 
 fn entry(id: &str) -> ServerEntry {
     ServerEntry {
         id: id.into(),
+        revision: 1,
         started_unix_ms: 1_000,
         service: "ledger".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
@@ -18,6 +21,13 @@
     }
 }
 
+fn entry_at(id: &str, revision: u64) -> ServerEntry {
+    ServerEntry {
+        revision,
+        ..entry(id)
+    }
+}
+
 fn at_ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -32,7 +42,7 @@
 fn servers_with(ids: &[&str]) -> Servers {
     let mut servers = Servers::new();
     servers.set_store_reachable(true, Duration::ZERO);
-    servers.replace_all(ids.iter().map(|id| entry(id)), Duration::ZERO);
+    servers.replace_all(ids.iter().map(|id| entry(id)), 1, Duration::ZERO);
     servers
 }
 
@@ -55,7 +65,7 @@
     let mut servers = servers_with(&["s1"]);
     let grace = servers.lapse_grace(at_ms(10_000));
     assert!(matches!(
-        servers.remove_entry("s1", grace, at_ms(10_000)),
+        servers.remove_entry("s1", 1, grace, at_ms(10_000)),
         Change::Removed(_)
     ));
 }
@@ -65,10 +75,10 @@
     let mut servers = servers_with(&["s1", "s2"]);
     servers.set_store_reachable(false, at_ms(1_000));
     servers.set_store_reachable(true, at_ms(6_000));
-    servers.replace_all([], at_ms(6_010));
+    servers.replace_all([], 5, at_ms(6_010));
     assert_eq!(accepting_count(&servers, at_ms(6_100)), 2);
     // One of the servers is still running and registers again.
-    servers.upsert(entry("s2"), at_ms(7_000));
+    servers.upsert(entry_at("s2", 6), at_ms(7_000));
     assert_eq!(accepting_count(&servers, at_ms(7_900)), 2);
     assert_eq!(accepting_count(&servers, at_ms(8_000)), 1);
     assert_eq!(servers.remove_expired(at_ms(8_000)).len(), 1);
@@ -87,7 +97,7 @@
     servers.set_store_reachable(true, at_ms(2_000));
     let grace = servers.lapse_grace(at_ms(2_001));
     assert!(matches!(
-        servers.remove_entry("s1", grace, at_ms(2_001)),
+        servers.remove_entry("s1", 1, grace, at_ms(2_001)),
         Change::Removed(_)
     ));
 }
@@ -120,3 +130,107 @@
     first.upsert(draining, at_ms(1));
     assert_ne!(first.digest(), second.digest());
 }
+
+/// A relay that was paused, or a list that was read before the change, delivers older entries.
+#[test]
+fn an_older_entry_does_not_undo_a_drain() {
+    let mut servers = servers_with(&["s1"]);
+    let draining = ServerEntry {
+        draining: true,
+        ..entry_at("s1", 4)
+    };
+    servers.upsert(draining, at_ms(1));
+    assert_eq!(
+        servers.upsert(entry_at("s1", 3), at_ms(2)),
+        Change::Unchanged
+    );
+    servers.replace_all([entry_at("s1", 3)], 3, at_ms(3));
+    assert_eq!(accepting_count(&servers, at_ms(3)), 0);
+}
+
+#[test]
+fn an_older_entry_does_not_bring_a_removed_server_back() {
+    let mut servers = servers_with(&["s1"]);
+    servers.remove_entry("s1", 4, Duration::ZERO, at_ms(1));
+    assert_eq!(
+        servers.upsert(entry_at("s1", 3), at_ms(2)),
+        Change::Unchanged
+    );
+    assert!(servers.is_empty());
+    // The removal may also arrive before the entry.
+    servers.remove_entry("s2", 6, Duration::ZERO, at_ms(3));
+    servers.upsert(entry_at("s2", 5), at_ms(4));
+    assert!(servers.is_empty());
+    // A server that registers again has a newer entry.
+    servers.upsert(entry_at("s1", 7), at_ms(5));
+    assert_eq!(accepting_count(&servers, at_ms(5)), 1);
+}
+
+/// A daemon that has just started gets the state of a relay, which may be behind the store.
+#[test]
+fn a_server_that_a_newer_list_no_longer_has_is_not_added() {
+    let mut servers = Servers::new();
+    servers.replace_all([entry_at("s1", 2)], 9, at_ms(1));
+    servers.upsert(entry_at("s2", 8), at_ms(2));
+    assert_eq!(accepting_count(&servers, at_ms(2)), 1);
+    servers.upsert(entry_at("s3", 10), at_ms(2));
+    assert_eq!(accepting_count(&servers, at_ms(2)), 2);
+}
+
+#[test]
+fn a_list_keeps_servers_that_are_newer_than_the_list() {
+    let mut servers = servers_with(&["s1"]);
+    servers.upsert(entry_at("s2", 8), at_ms(1));
+    servers.replace_all([entry_at("s1", 1)], 7, at_ms(2));
+    assert_eq!(accepting_count(&servers, at_ms(2)), 2);
+    servers.replace_all([entry_at("s1", 1)], 9, at_ms(3));
+    assert_eq!(accepting_count(&servers, at_ms(3)), 1);
+}
+
+fn key(servers: &Servers, id: &str) -> ServerKey {
+    servers.key_of_id(id).expect("a server")
+}
+
+#[test]
+fn a_leaving_server_gets_no_requests_whatever_its_entry_says() {
+    let mut servers = servers_with(&["s1", "s2"]);
+    let leaving = key(&servers, "s1");
+    assert!(servers.announce(leaving, Announcement::Leaving));
+    assert!(!servers.announce(leaving, Announcement::Leaving));
+    assert_eq!(accepting_count(&servers, at_ms(1)), 1);
+    servers.upsert(entry_at("s1", 5), at_ms(2));
+    assert_eq!(accepting_count(&servers, at_ms(2)), 1);
+    // The entry lapses and comes back, as around a store outage.
+    servers.remove_entry("s1", 6, Duration::ZERO, at_ms(3));
+    servers.upsert(entry_at("s1", 7), at_ms(4));
+    assert_eq!(accepting_count(&servers, at_ms(4)), 1);
+    let later_run = ServerEntry {
+        started_unix_ms: 2_000,
+        ..entry_at("s1", 8)
+    };
+    servers.upsert(later_run, at_ms(5));
+    assert_eq!(accepting_count(&servers, at_ms(5)), 2);
+}
+
+#[test]
+fn a_paused_server_gets_no_requests_until_the_end_of_its_pause() {
+    let mut servers = servers_with(&["s1", "s2"]);
+    let [first, second] = ["s1", "s2"].map(|id| key(&servers, id));
+    servers.announce(first, Announcement::PausedUntil(at_ms(3_000)));
+    // A later, shorter pause doesn't end an earlier one.
+    servers.announce(first, Announcement::PausedUntil(at_ms(1_000)));
+    assert_eq!(accepting_count(&servers, at_ms(2_999)), 1);
+    servers.announce(second, Announcement::PausedUntil(at_ms(5_000)));
+    assert_eq!(accepting_count(&servers, at_ms(2_999)), 0);
+    assert_eq!(
+        servers.next_opening("ledger", at_ms(1_000)),
+        Some(at_ms(3_000))
+    );
+    let server = servers.get(first).expect("a server");
+    assert_eq!(
+        server.availability(at_ms(2_999)),
+        Availability::Paused(at_ms(3_000))
+    );
+    assert_eq!(accepting_count(&servers, at_ms(3_000)), 1);
+    assert_eq!(servers.next_opening("ledger", at_ms(5_000)), None);
+}
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -197,7 +197,7 @@
         .ok_or(Reason::NoRoute)?;
     let service = route
         .select_service(rand::rng().random())
-        .ok_or(Reason::NoRoute)?;
+        .ok_or(Reason::MalformedRoute)?;
     let deadline_ms = head
         .headers
         .text(headers::DEADLINE_MS)
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -13,6 +13,7 @@
 use corianderworks_decision::edge::peer_load::{
     Report, ServerTag, StoreView, relay_delay, report_delay,
 };
+use corianderworks_decision::edge::servers::{Announcement, ServerEntry};
 use corianderworks_platform::configuration;
 use corianderworks_wire::codec;
 use tokio::sync::mpsc;
@@ -396,12 +397,17 @@
         let PendingReport {
             evidence,
             changed,
+            leaving,
             store,
         } = std::mem::take(&mut state.pending_report);
         let tags: Vec<ServerTag> = match complete {
             true => state.servers.entries().map(|e| e.tag()).collect(),
             false => changed,
         };
+        let leaving = match complete {
+            true => state.servers.leaving().map(ServerEntry::tag).collect(),
+            false => leaving,
+        };
         let counts = state.budget.take_counts(complete, self.clock.now());
         let load = |tag: ServerTag| {
             let key = state.servers.key_of_tag(tag);
@@ -419,6 +425,7 @@
             complete,
             in_flight,
             evidence,
+            leaving,
             counts,
             store,
         }
@@ -436,6 +443,7 @@
         for (tag, evidence) in &report.evidence {
             state.observe_tag(*tag, *evidence, now);
         }
+        state.record_leaving(&report.leaving);
         let changed = state.peer_load.apply(report);
         state.update_peer_in_flight(&changed, now);
         for (tag, counts) in &report.counts {
@@ -452,9 +460,10 @@
         for entry in update.entries {
             self.apply_entry(entry, "peer");
         }
-        for (id, grace_ms) in update.removed {
-            self.remove_entry(&id, Duration::from_millis(grace_ms), "peer");
+        for removal in &update.removed {
+            self.remove_entry(removal, "peer");
         }
+        self.lock_state().record_leaving(&update.leaving);
     }
 
     /// Returns all backend servers and the configuration, for a daemon that has neither.
@@ -463,6 +472,7 @@
         StoreUpdate {
             entries: state.servers.entries().cloned().collect(),
             removed: Vec::new(),
+            leaving: state.servers.leaving().map(ServerEntry::tag).collect(),
             configuration: state.configuration_bytes.clone(),
         }
     }
@@ -493,6 +503,26 @@
         }
     }
 
+    /// Applies what other daemons heard from servers that are shutting down.
+    fn record_leaving(&mut self, tags: &[ServerTag]) {
+        for tag in tags {
+            let Some(key) = self.servers.key_of_tag(*tag) else {
+                continue;
+            };
+            if self.servers.announce(key, Announcement::Leaving)
+                && let Some(server) = self.servers.get(key)
+            {
+                let entry = &server.entry;
+                tracing::info!(
+                    server = &*entry.id,
+                    service = &*entry.service,
+                    source = "peer",
+                    "servers: leaving"
+                );
+            }
+        }
+    }
+
     fn record_store_view(&mut self, view: StoreView, now: Duration) {
         self.servers.set_store_reachable(true, now);
         self.reported_store_view = Some((view, now));
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::fleet::Member;
-use corianderworks_decision::edge::peer_load::Report;
+use corianderworks_decision::edge::peer_load::{Report, ServerTag};
 use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_wire::codec::{self, CodecError, PREFIX_BYTES};
 use parking_lot::Mutex;
@@ -24,6 +24,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use crate::state::EntryRemoval;
+
 /// Subject name of the certificates, which is the same for all daemons.
 const CERTIFICATE_NAME: &str = "corianderworks-edge";
 /// Timeout for establishing a connection.
@@ -63,9 +65,10 @@
 pub struct StoreUpdate {
     /// Entries of backend servers that were added or updated.
     pub entries: Vec<ServerEntry>,
-    /// Ids of entries that were removed, and for how many milliseconds their servers are kept.
-    #[serde(rename = "vanished")]
-    pub removed: Vec<(String, u64)>,
+    /// Entries that were removed.
+    pub removed: Vec<EntryRemoval>,
+    /// Servers that said in a response that they are shutting down.
+    pub leaving: Vec<ServerTag>,
     /// New configuration, encoded as in the store.
     pub configuration: Option<Bytes>,
 }
@@ -254,6 +257,12 @@
             ..StoreUpdate::default()
         }));
     }
+    for leaving in update.leaving.chunks(ENTRIES_PER_MESSAGE) {
+        messages.push(Message::Store(StoreUpdate {
+            leaving: leaving.to_vec(),
+            ..StoreUpdate::default()
+        }));
+    }
     let mut rest = update.configuration.clone().unwrap_or_default();
     while !rest.is_empty() {
         let bytes = rest.split_to(rest.len().min(CONFIGURATION_PART_BYTES));
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -12,10 +12,14 @@
     ServerFailed,
     /// The daemon has not received a configuration yet.
     NoConfiguration,
-    /// No route matches the host and path, or the route selects no service.
+    /// No route matches the host and path.
     NoRoute,
+    /// The route is malformed in the configuration.
+    MalformedRoute,
     /// The service has no backend server that accepts requests.
     NoServer,
+    /// All backend servers of the service that are not leaving asked for a pause.
+    ServersPaused,
     /// The request is unlikely to finish before its deadline.
     NoCapacity,
     /// Backend servers refused the request because they were at capacity.
@@ -50,7 +54,9 @@
             Self::ServerFailed => "server-failed",
             Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::MalformedRoute => "malformed-route",
             Self::NoServer => "no-server",
+            Self::ServersPaused => "servers-paused",
             Self::NoCapacity => "no-capacity",
             Self::ServersFull => "servers-full",
             Self::Unreachable => "unreachable",
@@ -75,7 +81,9 @@
             }
             Self::NoRoute => (404, "Not Found"),
             Self::NoConfiguration
+            | Self::MalformedRoute
             | Self::NoServer
+            | Self::ServersPaused
             | Self::NoCapacity
             | Self::ServersFull
             | Self::Unreachable
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderworks_decision::edge::admission::{Admission, admit, retry_after};
+use corianderworks_decision::edge::admission::{Admission, admit, retry_after, retry_after_pause};
 use corianderworks_decision::edge::attempts::{
     AttemptEnd, AttemptState, NextStep, REFUSED_RETRY_DELAY, next_step,
 };
 use corianderworks_decision::edge::load_balancer::{Candidates, Choice, Evidence};
 use corianderworks_decision::edge::routes::Idempotency;
-use corianderworks_decision::edge::servers::ServerKey;
+use corianderworks_decision::edge::servers::{Announcement, ServerKey};
 use corianderworks_platform::headers;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -18,7 +18,10 @@
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::state::Edge;
-use crate::upstream::{ExchangeResult, OutgoingRequest, ResponseError, Target, UpstreamResponse};
+use crate::upstream::{
+    ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseError, Target,
+    UpstreamResponse,
+};
 
 /// Multiple of the route's typical latency after which an attempt counts as overdue. Latency varies
 /// with the amount of work: the slowest 1 % of requests take about four times the mean.
@@ -26,11 +29,15 @@
 /// Minimum time after which an attempt counts as overdue, whatever the typical latency.
 const OVERDUE_MIN: Duration = Duration::from_millis(250);
 
+/// Longest pause of a server that is respected. A longer one is more likely a fault of the server
+/// than its wish.
+const PAUSE_MAX: Duration = Duration::from_secs(15 * 60);
+
 /// Result of an attempt, returned by its task.
 struct EndedAttempt {
     key: ServerKey,
     target: Target,
-    exchange: ExchangeResult,
+    exchange: Exchange,
     took: Duration,
 }
 
@@ -101,8 +108,10 @@
         ) {
             Admission::Admit => {}
             Admission::Refuse { retry_after } => {
-                let reason = first.map_or(Reason::NoServer, |_| Reason::NoCapacity);
-                return self.refuse(reason, retry_after);
+                if first.is_some() {
+                    return self.refuse(Reason::NoCapacity, retry_after);
+                }
+                return self.give_up_without_server(retry_after);
             }
         }
         if let Some((choice, target)) = first {
@@ -168,10 +177,13 @@
         let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
         let remaining = self.remaining();
         let started = Instant::now();
-        if !self.tried_servers.contains(&choice.key) {
+        let reuse = if self.tried_servers.contains(&choice.key) {
+            ConnectionReuse::Never
+        } else {
             self.tried_servers.push(choice.key);
             self.sent += 1;
-        }
+            ConnectionReuse::Allowed
+        };
         self.refused_by.retain(|key| *key != choice.key);
         self.open_attempts.push((choice.key, started, false));
         self.attempt_history.push(format!(
@@ -183,7 +195,10 @@
             choice.idle_for.as_millis()
         ));
         self.attempts.spawn(async move {
-            let exchange = edge.pool.exchange(&outgoing, &target, remaining).await;
+            let exchange = edge
+                .pool
+                .exchange(&outgoing, &target, remaining, reuse)
+                .await;
             drop(guard);
             EndedAttempt {
                 key: choice.key,
@@ -270,7 +285,8 @@
 
     fn ended(&mut self, ended: EndedAttempt) -> Step {
         self.open_attempts.retain(|(key, _, _)| *key != ended.key);
-        let (end, evidence, response) = classify(ended.exchange);
+        self.record_announcements(&ended);
+        let (end, evidence, response) = classify(ended.exchange.result);
         self.edge.metrics.attempt(end_name(end), ended.took);
         let evidence = match end {
             AttemptEnd::Served => Some(self.edge.record_latency(&self.routing.route, ended.took)),
@@ -306,6 +322,21 @@
         self.advance(end)
     }
 
+    /// Records whether the server is shutting down or wants no requests for some time.
+    fn record_announcements(&self, ended: &EndedAttempt) {
+        if ended.exchange.leaving {
+            self.edge.announce(ended.key, Announcement::Leaving);
+        }
+        let ExchangeResult::Response(response) = &ended.exchange.result else {
+            return;
+        };
+        if let Some(pause) = requested_pause(response) {
+            let until = self.edge.clock.now() + pause;
+            self.edge
+                .announce(ended.key, Announcement::PausedUntil(until));
+        }
+    }
+
     fn advance(&mut self, end: AttemptEnd) -> Step {
         let state = AttemptState {
             idempotency: self.routing.route.idempotency,
@@ -347,7 +378,21 @@
             AttemptEnd::NotSent => Reason::Unreachable,
             _ => Reason::ServersFull,
         };
-        self.refuse(reason, retry_after(RETRY_AFTER_BASE, jitter()))
+        let wait = match self.edge.time_to_next_opening(&self.routing.service) {
+            Some(opening) => retry_after_pause(opening, jitter()),
+            None => retry_after(RETRY_AFTER_BASE, jitter()),
+        };
+        self.refuse(reason, wait)
+    }
+
+    /// Refuses a request for whose service no server takes requests now.
+    fn give_up_without_server(&self, wait: Duration) -> Outcome {
+        match self.edge.time_to_next_opening(&self.routing.service) {
+            Some(opening) => {
+                self.refuse(Reason::ServersPaused, retry_after_pause(opening, jitter()))
+            }
+            None => self.refuse(Reason::NoServer, wait),
+        }
     }
 
     fn timed_out(&mut self) -> Outcome {
@@ -412,6 +457,22 @@
     response.head.status == 421 || response.head.headers.get(headers::NOT_RUN).is_some()
 }
 
+/// Returns the time for which a server that turned the request away wants no further ones.
+fn requested_pause(response: &UpstreamResponse) -> Option<Duration> {
+    if response.head.status != 503 {
+        return None;
+    }
+    let seconds: f64 = response
+        .head
+        .headers
+        .text(headers::RETRY_AFTER)?
+        .trim()
+        .parse()
+        .ok()?;
+    let pause = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(pause.min(PAUSE_MAX))
+}
+
 /// Returns how an attempt ended, the evidence that a failure gives about the server, and the
 /// response if it is usable.
 fn classify(exchange: ExchangeResult) -> (AttemptEnd, Option<Evidence>, Option<UpstreamResponse>) {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -13,11 +13,14 @@
 };
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
 use corianderworks_decision::edge::routes::{Configuration, Idempotency, Route, replace_if_newer};
-use corianderworks_decision::edge::servers::{Change, ServerEntry, ServerKey, Servers};
+use corianderworks_decision::edge::servers::{
+    Announcement, Change, ServerEntry, ServerKey, Servers,
+};
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::settings::Settings;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
 use crate::logs::LineRateLimiter;
@@ -81,16 +84,16 @@
     pub evidence: Vec<(ServerTag, Evidence)>,
     /// Servers at which the number of requests in flight changed.
     pub changed: Vec<ServerTag>,
+    /// Servers that have just said that they are shutting down.
+    pub leaving: Vec<ServerTag>,
     /// Own store view, if this daemon has just read the store on behalf of others.
     pub store: Option<StoreView>,
 }
 
 impl PendingReport {
-    /// Whether any of the evidence indicates a problem with a server.
+    /// Whether the changes include servers that other daemons should avoid at once.
     pub fn includes_failures(&self) -> bool {
-        self.evidence
-            .iter()
-            .any(|(_, evidence)| evidence.is_negative())
+        !self.leaving.is_empty() || self.evidence.iter().any(|(_, e)| e.is_negative())
     }
 }
 
@@ -229,12 +232,16 @@
         handle_change(&mut state, &change, source, now);
     }
 
-    /// Handles the removal of a backend server's entry from the store. The server is kept for
-    /// `grace`, because the entry may have lapsed in a store outage.
-    pub fn remove_entry(&self, id: &str, grace: Duration, source: &'static str) {
+    /// Handles the removal of a backend server's entry from the store.
+    pub fn remove_entry(&self, removal: &EntryRemoval, source: &'static str) {
+        let EntryRemoval {
+            id,
+            revision,
+            grace,
+        } = removal;
         let now = self.clock.now();
         let mut state = self.lock_state();
-        let change = state.servers.remove_entry(id, grace, now);
+        let change = state.servers.remove_entry(id, *revision, *grace, now);
         if change != Change::Unchanged {
             tracing::info!(
                 server = id,
@@ -246,11 +253,11 @@
         handle_change(&mut state, &change, source, now);
     }
 
-    /// Replaces all backend servers by those of a complete listing of the store.
-    pub fn replace_servers(&self, entries: Vec<ServerEntry>, source: &'static str) {
+    /// Replaces all backend servers by those of a complete listing of the store as of `revision`.
+    pub fn replace_servers(&self, entries: Vec<ServerEntry>, revision: u64, source: &'static str) {
         let now = self.clock.now();
         let mut state = self.lock_state();
-        let changes = state.servers.replace_all(entries, now);
+        let changes = state.servers.replace_all(entries, revision, now);
         for change in &changes {
             handle_change(&mut state, change, source, now);
         }
@@ -318,6 +325,47 @@
         self.report_trigger.notify_one();
     }
 
+    /// Records what a backend server said of itself in a response to this daemon.
+    pub fn announce(&self, key: ServerKey, announcement: Announcement) {
+        let mut state = self.lock_state();
+        if !state.servers.announce(key, announcement) {
+            return;
+        }
+        let Some(entry) = state.servers.get(key).map(|s| s.entry.clone()) else {
+            return;
+        };
+        match announcement {
+            Announcement::Leaving => {
+                tracing::info!(
+                    server = &*entry.id,
+                    service = &*entry.service,
+                    source = "response",
+                    "servers: leaving"
+                );
+                state.pending_report.leaving.push(entry.tag());
+                drop(state);
+                self.report_trigger.notify_one();
+            }
+            Announcement::PausedUntil(until) => {
+                let pause_ms = until.saturating_sub(self.clock.now()).as_millis() as u64;
+                tracing::info!(
+                    server = &*entry.id,
+                    service = &*entry.service,
+                    pause_ms,
+                    "servers: paused"
+                );
+            }
+        }
+    }
+
+    /// Returns the time until the first paused backend server of a service takes requests again, or
+    /// `None` if none is paused.
+    pub fn time_to_next_opening(&self, service: &str) -> Option<Duration> {
+        let now = self.clock.now();
+        let opening = self.lock_state().servers.next_opening(service, now);
+        opening.map(|at| at.saturating_sub(now))
+    }
+
     /// Returns the typical response time of a route.
     pub fn typical_latency(&self, route: &Route) -> Duration {
         self.lock_state().load_balancer.typical_route_latency(route)
@@ -397,6 +445,17 @@
     }
 }
 
+/// Removal of a backend server's entry from the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRemoval {
+    /// Id of the server.
+    pub id: String,
+    /// Store revision of the removal, or of the last change before it.
+    pub revision: u64,
+    /// Time for which the server is kept, because the entry may have lapsed in a store outage.
+    pub grace: Duration,
+}
+
 /// Logs a change of a backend server, and tells the load balancer of an added or removed one.
 fn handle_change(state: &mut EdgeState, change: &Change, source: &'static str, now: Duration) {
     let (what, key) = match change {
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::peers::{Peers, StoreUpdate, store_messages};
-use crate::state::Edge;
+use crate::state::{Edge, EntryRemoval};
 
 /// Longest time that a watch waits for changes. Each response shows that the store is reachable,
 /// so this bounds the time for which a lost connection goes unnoticed.
@@ -168,15 +168,8 @@
         match self.store.list(self.object_kind.as_str()).await {
             Ok(listing) => {
                 self.handle_success();
-                if listing.undecodable > 0 {
-                    let count = listing.undecodable;
-                    tracing::warn!(
-                        kind = self.object_kind.as_str(),
-                        count,
-                        "store: list contains malformed objects"
-                    );
-                }
-                self.apply_list(&listing.objects);
+                self.log_unnamed(listing.unnamed);
+                self.apply_list(&listing.objects, listing.revision);
                 self.revision = Some(listing.revision);
                 self.report_store_view();
             }
@@ -194,6 +187,7 @@
                 self.handle_success();
                 self.revision = Some(changes.revision);
                 let has_changes = !changes.events.is_empty();
+                self.log_unnamed(changes.unnamed);
                 self.apply_events(changes.events);
                 self.report_store_view();
                 if has_changes {
@@ -259,7 +253,7 @@
         }
     }
 
-    fn apply_list(&mut self, objects: &[StoredObject]) {
+    fn apply_list(&mut self, objects: &[StoredObject], revision: u64) {
         match self.object_kind {
             ObjectKind::Configuration => {
                 for object in objects {
@@ -271,7 +265,7 @@
                     .iter()
                     .filter_map(|o| self.decode_entry(o))
                     .collect();
-                self.edge.replace_servers(entries, "list");
+                self.edge.replace_servers(entries, revision, "list");
             }
         }
     }
@@ -321,7 +315,6 @@
                 self.edge.apply_entry(entry, "watch");
             }
             None => {
-                let id = &event.object.name;
                 let now = self.edge.clock.now();
                 // An entry that is removed soon after a store outage may have lapsed in it although
                 // its server is running, so the server is kept for a grace period. An undecodable
@@ -330,9 +323,13 @@
                     true => self.edge.lock_state().servers.lapse_grace(now),
                     false => Duration::ZERO,
                 };
-                let grace_ms = u64::try_from(grace.as_millis()).unwrap_or(u64::MAX);
-                update.removed.push((id.clone(), grace_ms));
-                self.edge.remove_entry(id, grace, "watch");
+                let removal = EntryRemoval {
+                    id: event.object.name.clone(),
+                    revision: event.object.revision,
+                    grace,
+                };
+                self.edge.remove_entry(&removal, "watch");
+                update.removed.push(removal);
             }
         }
     }
@@ -367,6 +364,14 @@
         }
     }
 
+    /// Logs objects that can't be decoded far enough to tell which they are.
+    fn log_unnamed(&self, count: usize) {
+        if count > 0 {
+            let kind = self.object_kind.as_str();
+            tracing::warn!(kind, count, "store: malformed objects without a name");
+        }
+    }
+
     fn log_undecodable(&mut self, object: &StoredObject, error: &dyn std::error::Error) {
         let previous = self
             .undecodable_revisions
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -30,6 +30,8 @@
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
 /// Share of the idle timeout for which a connection is reused for non-idempotent requests.
 const IDLE_TIMEOUT_SHARE_NON_IDEMPOTENT: f64 = 0.5;
+/// Status of a response by another server process than the expected one.
+const MISDIRECTED: u16 = 421;
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 const MISMATCHED_RESPONSES_MAX: usize = 3;
 /// Maximum number of interim (1xx) responses before a response.
@@ -83,6 +85,25 @@
     pub body: ResponseBody,
 }
 
+/// Whether a request may be sent on an idle connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// An idle connection is preferred to a new one.
+    Allowed,
+    /// Only a new connection is used. On others, a faulty server may repeat a refusal that it has
+    /// sent for the same request before, which would pass for the response to this attempt.
+    Never,
+}
+
+/// Result of an exchange, and what the server said of itself.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Result of the exchange.
+    pub result: ExchangeResult,
+    /// Whether the server said that it is shutting down, in any response that it sent.
+    pub leaving: bool,
+}
+
 /// Result of sending a request and receiving its response.
 #[derive(Debug)]
 pub enum ExchangeResult {
@@ -165,19 +186,40 @@
         outgoing: &OutgoingRequest,
         target: &Target,
         time_left: Duration,
+        reuse: ConnectionReuse,
+    ) -> Exchange {
+        let mut leaving = false;
+        let result = self
+            .send_request(outgoing, target, time_left, reuse, &mut leaving)
+            .await;
+        Exchange { result, leaving }
+    }
+
+    async fn send_request(
+        &self,
+        outgoing: &OutgoingRequest,
+        target: &Target,
+        time_left: Duration,
+        reuse: ConnectionReuse,
+        leaving: &mut bool,
     ) -> ExchangeResult {
         let request = encode(outgoing, target, time_left);
         let deadline = Instant::now() + time_left;
         loop {
-            let mut connection = match self.take_idle(target.address, outgoing.request_idempotency)
-            {
+            let idle = match reuse {
+                ConnectionReuse::Allowed => {
+                    self.take_idle(target.address, outgoing.request_idempotency)
+                }
+                ConnectionReuse::Never => None,
+            };
+            let mut connection = match idle {
                 Some(connection) => connection,
                 None => match connect(target.address).await {
                     Ok(connection) => connection,
                     Err(error) => return ExchangeResult::NotSent(error),
                 },
             };
-            match send_and_receive(&mut connection, &request, outgoing).await {
+            match send_and_receive(&mut connection, &request, outgoing, leaving).await {
                 // No byte of the request was sent, so it is safe to use another connection.
                 Err(SendError::NothingSent(_)) if connection.reused => continue,
                 Err(SendError::NothingSent(error)) => return ExchangeResult::NotSent(error),
@@ -348,6 +390,7 @@
     connection: &mut Connection,
     request: &Bytes,
     outgoing: &OutgoingRequest,
+    leaving: &mut bool,
 ) -> Result<ReceivedHead, SendError> {
     let reused = connection.reused;
     let mut request = request.clone();
@@ -366,6 +409,7 @@
     loop {
         let parsed = take_response_head(buffer, &outgoing.head.method)
             .map_err(|_| SendError::ResponseError(ResponseError::Malformed))?;
+        *leaving |= parsed.as_ref().is_some_and(announces_leaving);
         match parsed {
             Some(head) if (100..200).contains(&head.status) => {
                 interim += 1;
@@ -414,6 +458,12 @@
     }
 }
 
+/// Whether a response says that the expected server is shutting down. A misdirected request was
+/// answered by another one.
+fn announces_leaving(head: &ResponseHead) -> bool {
+    head.status != MISDIRECTED && head.headers.get(headers::LEAVING) == Some(b"1")
+}
+
 /// Whether a response matches the request by its id. The first response on a new connection can't
 /// belong to another request, so it may lack the id.
 fn matches_request(head: &ResponseHead, outgoing: &OutgoingRequest, id_required: bool) -> bool {
--- a/crates/corianderworks_edge/tests/starting.rs
+++ b/crates/corianderworks_edge/tests/starting.rs
@@ -40,6 +40,7 @@
     edge.install_configuration(Arc::new(configuration(1)), None, "test");
     let entry = ServerEntry {
         id: "s1".into(),
+        revision: 1,
         started_unix_ms: 1,
         service: "ledger".into(),
         address,
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -37,6 +37,8 @@
     Respond(u16, &'static str, Duration),
     /// Responds 503 and states that the request was not run.
     Refuse,
+    /// Repeats the refusal that it sent last on the same connection, if any, then responds 200.
+    RespondAfterRepeatedRefusal,
     /// Responds 421, as a server process with another id does.
     Misdirected,
     /// Sends these bytes, with `{id}` replaced by the request id.
@@ -155,6 +157,7 @@
 
     async fn serve(self, mut stream: TcpStream, connection: usize) {
         let mut buffer = Vec::new();
+        let mut last_refusal = String::new();
         loop {
             let Some(head) = read_head(&mut stream, &mut buffer).await else {
                 return;
@@ -178,6 +181,16 @@
                 connection,
             };
             self.state.received_requests.lock().push(received_request);
+            if matches!(action, Action::Refuse) {
+                last_refusal = refusal(&head);
+            }
+            let repeated = match action {
+                Action::RespondAfterRepeatedRefusal => last_refusal.as_bytes(),
+                _ => &[],
+            };
+            if stream.write_all(repeated).await.is_err() {
+                return;
+            }
             if !self.perform(&mut stream, action, &head).await {
                 return;
             }
@@ -193,10 +206,8 @@
                 tokio::time::sleep(pause).await;
                 (signed_response(head, status, body), true)
             }
-            Action::Refuse => {
-                let text = "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-                (text.replace("{id}", &id), true)
-            }
+            Action::Refuse => (refusal(head), true),
+            Action::RespondAfterRepeatedRefusal => (signed_response(head, 200, "done"), true),
             Action::Misdirected => {
                 let text = "HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
                 (text.replace("{id}", &id), true)
@@ -231,6 +242,11 @@
     }
 }
 
+fn refusal(head: &str) -> String {
+    let id = header(head, "request-id").unwrap_or_default();
+    format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 fn signed_response(head: &str, status: u16, body: &str) -> String {
     let id = header(head, "request-id").unwrap_or_default();
     let length = body.len();
@@ -347,8 +363,14 @@
     }
 
     fn add_server(&self, id: &str, backend: &Backend, domain: &str) {
+        self.apply_entry(id, backend, domain, 1);
+    }
+
+    /// Adds a backend server as of a store revision, or updates its entry.
+    pub fn apply_entry(&self, id: &str, backend: &Backend, domain: &str, revision: u64) {
         let entry = ServerEntry {
             id: id.into(),
+            revision,
             started_unix_ms: 1,
             service: "ledger".into(),
             address: backend.address,
