Send reports through relays, and read the store in three daemons only

Cause: each daemon sent each change to all daemons of its domain, so the cost of a request grew with the fleet; and the relays of a sixth domain had no watcher, so that each of its daemons listed the store after each change. At the start every daemon listed the configuration, the servers and the other daemons.

Change: daemons report to the two relays of their domain, which send batches to it; the delay of a batch grows with the domain, so that the messages of a relay do not. The VMs with the largest capacity are relays. The second one always sends on what must arrive, and everything if the first is silent for 0.7 s. Three relays watch the store; changes reach the other domains through relays, which send on what is new. Starting daemons wait for the state of another one before they read the store. The times of watches follow the platform's bounds for drains and configurations. The digest of servers is kept per entry.

--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -1,11 +1,18 @@
 //! Membership of the edge daemons: liveness, relays between domains, and store watchers.
 //!
-//! All daemons of a failure domain are connected to each other. The two that have run longest
-//! in each domain are its relays: they connect to relays of the other domains and exchange
-//! reports in batches. Relays also watch the store: one in each of up to five domains, or both
-//! relays of each domain in a fleet of one or two domains.
+//! Designed for hundreds of daemons, most of them on weak VMs: the messages of a daemon must not
+//! grow with the fleet. In each domain, the VMs with the largest capacity are candidates, among
+//! equal ones those that have run longest. The first two candidates are the relays: all daemons of
+//! the domain send their reports to them, and the first one sends them on to the domain and to the
+//! relays of the other domains, in batches. The second one takes over when it no longer hears from
+//! the first, and always relays reports that must not be lost. Further candidates only keep
+//! connections, so that they can become relays at once.
+//!
+//! Three relays watch the store, whatever the size of the fleet. They send changes to their domain
+//! and to the relays of the others, which send on what is new to them.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,13 +32,14 @@
 const EXPIRES_AFTER: Duration = Duration::from_secs(15 * 60);
 /// Number of relays per domain. With two, one may fail without an interruption.
 pub const RELAYS_PER_DOMAIN: usize = 2;
-/// Number of daemons that should at least watch the store. A single watcher could lose its
-/// connection to the store unnoticed. Only relays watch, so a fleet in one domain has at most
-/// two watchers.
-const WATCHERS_MIN: usize = 3;
-/// Largest number of domains with a watcher; bounds the calls to the store independently of
-/// the size of the fleet.
-const WATCHED_DOMAINS_MAX: usize = 5;
+/// Number of daemons of a domain that all others of the domain keep connections to.
+const CANDIDATES_PER_DOMAIN: usize = 3;
+/// Number of daemons that watch the store. A single watcher could lose its connection to the store
+/// unnoticed. Only relays watch, so a fleet in one domain has two watchers.
+const WATCHERS: usize = 3;
+/// Time without a batch from the first relay after which the second one takes over. The first one
+/// sends at least its own heartbeats.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(700);
 /// Largest number of addresses returned to a caller.
 const ADDRESSES_MAX: usize = 64;
 /// Smallest number of ready daemons in a caller's domain for which only their addresses are
@@ -51,6 +59,8 @@
     pub peer: SocketAddr,
     /// Address on which callers connect.
     pub callers: SocketAddr,
+    /// Processor share of the VM, in thousandths of a core.
+    pub capacity_millicores: u32,
 }
 
 /// Hash of a run's VM name and start time that identifies the run in reports.
@@ -64,8 +74,46 @@
         RunKey(hash as u32)
     }
 
-    fn start_order(&self) -> (u64, &str) {
-        (self.started_unix_ms, &self.vm)
+    fn candidate_order(&self) -> (Reverse<u32>, u64, &str) {
+        let capacity = Reverse(self.capacity_millicores);
+        (capacity, self.started_unix_ms, &self.vm)
+    }
+}
+
+/// What a daemon exchanges with which other daemons, by peer address.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Topology {
+    /// Index of this daemon among the relays of its domain, if it is one.
+    pub relay_position: Option<usize>,
+    /// First relay of the domain, if this daemon is the second one.
+    pub first_relay: Option<SocketAddr>,
+    /// Other relays of the domain; they get all reports.
+    pub relays: Vec<SocketAddr>,
+    /// Other candidates of the domain, including the relays; they get complete reports.
+    pub candidates: Vec<SocketAddr>,
+    /// Other daemons of the domain that are up; they get batches if this daemon is a relay.
+    pub domain_peers: Vec<SocketAddr>,
+    /// Relays of the other domains; they get batches if this daemon is a relay.
+    pub relay_targets: Vec<SocketAddr>,
+    /// Daemons of other domains.
+    pub other_domains: HashSet<SocketAddr>,
+}
+
+impl Topology {
+    /// Returns whether a report is sent on if this daemon is a relay. `first_heard_at` is the time
+    /// of the last batch from the first relay.
+    pub fn relays_report(
+        &self,
+        must_arrive: bool,
+        first_heard_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let first_is_silent = now.saturating_sub(first_heard_at) >= TAKEOVER_AFTER;
+        match self.relay_position {
+            Some(0) => true,
+            Some(_) => must_arrive || first_is_silent,
+            None => false,
+        }
     }
 }
 
@@ -93,6 +141,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     own: Member,
+    own_status: DaemonStatus,
     known: HashMap<Arc<str>, KnownMember>,
     by_key: HashMap<RunKey, Arc<str>>,
 }
@@ -102,6 +151,7 @@
     pub fn new(own: Member) -> Self {
         Self {
             own,
+            own_status: DaemonStatus::NotReady,
             known: HashMap::new(),
             by_key: HashMap::new(),
         }
@@ -112,6 +162,11 @@
         &self.own
     }
 
+    /// Sets the status that this daemon reports.
+    pub fn set_own_status(&mut self, status: DaemonStatus) {
+        self.own_status = status;
+    }
+
     /// Adds a member, or replaces an earlier run on the same VM. A member's own announcement
     /// (`direct`) always replaces a known run. A record from another source replaces it only if
     /// its run started later. Returns whether the member was added or replaced.
@@ -202,20 +257,25 @@
         domains
     }
 
-    /// Returns the relays of a domain, longest running first.
-    pub fn relays(&self, domain: &str, now: Duration) -> Vec<&Member> {
-        let members_up = self
-            .members_up(now)
-            .filter(|k| k.status != DaemonStatus::Leaving)
-            .map(|k| &k.member);
-        let own = std::iter::once(&self.own);
-        let mut members: Vec<_> = members_up
+    /// Returns the first daemons of a domain that may be its relays, ready ones first.
+    fn candidates(&self, domain: &str, now: Duration) -> Vec<&Member> {
+        let members_up = self.members_up(now).map(|k| (&k.member, k.status));
+        let own = std::iter::once((&self.own, self.own_status));
+        let mut candidates: Vec<_> = members_up
             .chain(own)
-            .filter(|m| &*m.domain == domain)
+            .filter(|(m, status)| &*m.domain == domain && *status != DaemonStatus::Leaving)
             .collect();
-        members.sort_by_key(|m| m.start_order());
-        members.truncate(RELAYS_PER_DOMAIN);
-        members
+        let is_waiting = |status: DaemonStatus| status != DaemonStatus::Ready;
+        candidates.sort_by_key(|(m, status)| (is_waiting(*status), m.candidate_order()));
+        candidates.truncate(CANDIDATES_PER_DOMAIN);
+        candidates.into_iter().map(|(m, _)| m).collect()
+    }
+
+    /// Returns the relays of a domain in the order in which they take over.
+    pub fn relays(&self, domain: &str, now: Duration) -> Vec<&Member> {
+        let mut relays = self.candidates(domain, now);
+        relays.truncate(RELAYS_PER_DOMAIN);
+        relays
     }
 
     /// Returns the index of this daemon among the relays of its domain, if it is one.
@@ -243,13 +303,40 @@
         others.filter_map(target).collect()
     }
 
+    /// Returns the other candidates of the own domain, relays first.
+    fn other_candidates(&self, now: Duration) -> Vec<&Member> {
+        let mut candidates = self.candidates(&self.own.domain, now);
+        candidates.retain(|m| m.vm != self.own.vm);
+        candidates
+    }
+
     /// Returns the members that this daemon should keep connections to.
     pub fn link_targets(&self, now: Duration) -> Vec<Member> {
-        let same_domain = self
-            .others()
-            .filter(|m| m.domain == self.own.domain)
-            .cloned();
-        same_domain.chain(self.relay_targets(now)).collect()
+        let candidates = self.other_candidates(now).into_iter().cloned();
+        candidates.chain(self.relay_targets(now)).collect()
+    }
+
+    /// Returns what this daemon exchanges with which other daemons.
+    pub fn topology(&self, now: Duration) -> Topology {
+        let address = |m: &Member| m.peer;
+        let candidates = self.other_candidates(now);
+        let relay_position = self.relay_position(now);
+        let relays = RELAYS_PER_DOMAIN - usize::from(relay_position.is_some());
+        let is_first =
+            |m: &&&Member| relay_position == Some(1) && Some(**m) == candidates.first().copied();
+        Topology {
+            relay_position,
+            first_relay: candidates.iter().find(is_first).map(|m| m.peer),
+            relays: candidates.iter().take(relays).map(|m| m.peer).collect(),
+            candidates: candidates.iter().map(|m| m.peer).collect(),
+            domain_peers: self.domain_peers(now).map(address).collect(),
+            relay_targets: self.relay_targets(now).iter().map(address).collect(),
+            other_domains: self
+                .others()
+                .filter(|m| m.domain != self.own.domain)
+                .map(address)
+                .collect(),
+        }
     }
 
     /// Returns the other members of the own domain that are up.
@@ -260,16 +347,21 @@
             .filter(move |m| m.domain == *domain)
     }
 
-    /// Whether this daemon is one of the relays that watch the store.
+    /// Whether this daemon is one of the relays that watch the store. First and second relays
+    /// alternate over the domains, so that changes take two paths.
     pub fn watches_store(&self, now: Duration) -> bool {
         let Some(position) = self.relay_position(now) else {
             return false;
         };
         let domains = self.domains(now);
-        let watched = domains.len().min(WATCHED_DOMAINS_MAX);
-        let rank = domains.iter().position(|d| **d == self.own.domain);
-        let watchers_per_domain = WATCHERS_MIN.div_ceil(watched.max(1));
-        rank.is_some_and(|r| r < watched) && position < watchers_per_domain
+        let Some(rank) = domains.iter().position(|d| **d == self.own.domain) else {
+            return false;
+        };
+        if domains.len() < WATCHERS {
+            return true;
+        }
+        let relays = self.relays(&self.own.domain, now).len();
+        rank < WATCHERS && position == (rank % RELAYS_PER_DOMAIN).min(relays - 1)
     }
 
     /// Returns the addresses of ready daemons for a caller in `domain`: those of its domain, or
--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -9,16 +9,31 @@
 use super::fleet::RunKey;
 use super::load_balancer::Evidence;
 
-/// Time for which changes are collected into one report to the own domain.
-const REPORT_DELAY: Duration = Duration::from_millis(10);
+/// Time for which changes are collected into one report to the relays of the own domain.
+const REPORT_DELAY: Duration = Duration::from_millis(4);
 /// Same for changes that include failures. A failing server often responds fastest, so other
 /// daemons keep sending requests to it until the report arrives.
 const REPORT_DELAY_FAILURES: Duration = Duration::from_millis(1);
+/// Time per daemon of the domain for which a relay collects reports into one batch to the domain.
+/// In proportion to the daemons, so that a relay sends the same number of messages per second in a
+/// large domain as in a small one.
+const BATCH_DELAY_PER_PEER: Duration = Duration::from_millis(1);
+const BATCH_DELAY_PER_PEER_FAILURES: Duration = Duration::from_micros(250);
 /// Same for reports to other domains, where bandwidth is more expensive.
 const RELAY_DELAY: Duration = Duration::from_millis(100);
 const RELAY_DELAY_FAILURES: Duration = Duration::from_millis(5);
 
-/// Returns the delay between a change and its report to the own domain.
+/// Returns the delay between receiving a report and sending it on to the `peers` other daemons of
+/// the own domain.
+pub fn batch_delay(peers: usize, must_arrive_soon: bool) -> Duration {
+    let per_peer = match must_arrive_soon {
+        true => BATCH_DELAY_PER_PEER_FAILURES,
+        false => BATCH_DELAY_PER_PEER,
+    };
+    per_peer * u32::try_from(peers).unwrap_or(u32::MAX)
+}
+
+/// Returns the delay between a change and its report to the relays of the own domain.
 pub fn report_delay(has_failures: bool) -> Duration {
     match has_failures {
         true => REPORT_DELAY_FAILURES,
@@ -70,6 +85,12 @@
 }
 
 impl Report {
+    /// Whether the second relay sends the report on in any case, so that it arrives if the first one
+    /// has just failed.
+    pub fn must_arrive(&self) -> bool {
+        self.complete || self.store.is_some() || self.has_failures()
+    }
+
     /// Whether the report tells of servers that other daemons should avoid at once.
     pub fn has_failures(&self) -> bool {
         let has_negative = self.evidence.iter().any(|(_, e)| e.is_negative());
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -108,6 +108,7 @@
     pub entry: ServerEntry,
     /// End of the server's cold start.
     pub cold_until: Duration,
+    entry_digest: u64,
     /// Time at which the server is removed, if its entry lapsed around a store outage.
     expires_at: Option<Duration>,
     announced: Announced,
@@ -275,6 +276,7 @@
         server.cold_until = now + entry.cold;
         let started_draining = entry.draining && !server.entry.draining;
         let changed = server.entry != entry;
+        server.entry_digest = entry_digest(&entry);
         server.entry = entry;
         match (started_draining, changed) {
             (true, _) => Change::Draining(key),
@@ -347,7 +349,7 @@
     /// Returns a digest of all entries that are in the store. It doesn't depend on their order.
     pub fn digest(&self) -> u64 {
         let listed = self.arena.values().filter(|s| s.expires_at.is_none());
-        listed.fold(0, |digest, server| digest ^ entry_digest(&server.entry))
+        listed.fold(0, |digest, server| digest ^ server.entry_digest)
     }
 
     /// Replaces all entries by a list of the store as of `revision`. Servers that are missing from
@@ -401,6 +403,7 @@
         let same_run = removed.filter(|r| r.started_unix_ms == entry.started_unix_ms);
         let key = self.arena.insert(Server {
             cold_until: now + entry.cold,
+            entry_digest: entry_digest(&entry),
             entry,
             expires_at: None,
             announced: same_run.map(|r| r.announced).unwrap_or_default(),
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::fleet::{
-    DaemonStatus, Fleet, HEARTBEAT_INTERVAL, Member, RunKey,
+    DaemonStatus, Fleet, HEARTBEAT_INTERVAL, Member, RunKey, Topology,
 };
 use corianderworks_decision::edge::load_balancer::Evidence;
 use corianderworks_decision::edge::peer_load::{
-    Report, ServerTag, StoreView, relay_delay, report_delay,
+    Report, ServerTag, StoreView, batch_delay, relay_delay, report_delay,
 };
 use corianderworks_decision::edge::servers::{Announcement, ServerEntry};
 use corianderworks_platform::configuration;
@@ -23,7 +23,9 @@
 use crate::state::{Edge, EdgeState, Lifecycle, PendingReport};
 
 /// Largest number of reports in one datagram.
-const REPORTS_PER_DATAGRAM: usize = 12;
+const REPORTS_PER_DATAGRAM: usize = 32;
+/// Interval at which the topology is worked out again from the members that are up.
+const TOPOLOGY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between attempts to connect to a peer.
 const CONNECT_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for which only the daemon with the lower VM name may open the connection between two
@@ -37,9 +39,12 @@
         edge,
         peers,
         sequence: 0,
-        pending_relays: Vec::new(),
+        topology: Topology::default(),
+        topology_due: now,
+        first_relay_heard_at: Duration::ZERO,
+        domain_batch: Batch::default(),
+        relay_batch: Batch::default(),
         report_due: None,
-        relay_due: None,
         heartbeat_due: now,
         connect_due: now,
         last_attempts: HashMap::new(),
@@ -53,12 +58,16 @@
     edge: Arc<Edge>,
     peers: Arc<Peers>,
     sequence: u32,
-    /// Reports that wait to be relayed to other domains.
-    pending_relays: Vec<Report>,
+    topology: Topology,
+    topology_due: Instant,
+    /// Time of the last datagram from the first relay of the domain.
+    first_relay_heard_at: Duration,
+    /// Reports that wait to be sent to the own domain.
+    domain_batch: Batch,
+    /// Reports of the own domain that wait to be sent to the relays of other domains.
+    relay_batch: Batch,
     /// When the next report of changes is sent; `None` if nothing changed.
     report_due: Option<Instant>,
-    /// When `pending_relays` are sent; `None` if there are none.
-    relay_due: Option<Instant>,
     heartbeat_due: Instant,
     connect_due: Instant,
     /// Time of the last connection attempt to each peer.
@@ -69,13 +78,39 @@
     silent: Vec<RunKey>,
 }
 
+/// Reports that a relay collects before it sends them on.
+#[derive(Default)]
+struct Batch {
+    reports: Vec<Report>,
+    /// When the reports are sent; `None` if there are none.
+    due: Option<Instant>,
+}
+
+impl Batch {
+    fn add(&mut self, report: Report, delay: Duration) {
+        self.reports.push(report);
+        let due = Instant::now() + delay;
+        self.due = Some(self.due.map_or(due, |at| at.min(due)));
+    }
+
+    /// Returns the reports if they are due.
+    fn take_due(&mut self, now: Instant) -> Vec<Report> {
+        if self.due.is_none_or(|due| now < due) {
+            return Vec::new();
+        }
+        self.due = None;
+        std::mem::take(&mut self.reports)
+    }
+}
+
 impl PeerSync {
     async fn run(&mut self, mut incoming: mpsc::UnboundedReceiver<Incoming>) {
         let edge = self.edge.clone();
         loop {
-            let due = [self.report_due, self.relay_due].into_iter().flatten();
-            let due = due.min().unwrap_or(self.heartbeat_due);
-            let due = due.min(self.heartbeat_due).min(self.connect_due);
+            let due = [self.report_due, self.domain_batch.due, self.relay_batch.due];
+            let due = due.into_iter().flatten().min();
+            let due = due.unwrap_or(self.heartbeat_due).min(self.heartbeat_due);
+            let due = due.min(self.connect_due).min(self.topology_due);
             tokio::select! {
                 received = incoming.recv() => match received {
                     Some(received) => self.handle_incoming(received),
@@ -96,6 +131,9 @@
 
     fn run_due_tasks(&mut self) {
         let now = Instant::now();
+        if now >= self.topology_due {
+            self.update_topology();
+        }
         if now >= self.heartbeat_due {
             self.heartbeat_due = now + HEARTBEAT_INTERVAL;
             self.send_report(true);
@@ -107,27 +145,34 @@
             self.connect_due = now + CONNECT_RETRY_INTERVAL;
             self.connect_to_targets();
         }
-        if self.relay_due.is_some_and(|due| now >= due) {
-            self.flush_relays();
-        }
+        let reports = self.domain_batch.take_due(now);
+        self.send_reports(&self.topology.domain_peers, &reports);
+        let reports = self.relay_batch.take_due(now);
+        self.send_reports(&self.topology.relay_targets, &reports);
     }
 
-    /// Sends a report to the own domain, and queues it for other domains if this daemon is a
-    /// relay.
+    fn update_topology(&mut self) {
+        self.topology_due = Instant::now() + TOPOLOGY_INTERVAL;
+        self.topology = self.edge.lock_state().fleet.topology(self.edge.clock.now());
+    }
+
+    /// Sends a report to the relays of the own domain, and to all candidates if it is complete.
     fn send_report(&mut self, complete: bool) {
         self.report_due = None;
         self.sequence += 1;
         let report = self.edge.take_report(self.sequence, complete);
-        self.send_to_domain(std::slice::from_ref(&report));
-        self.queue_relay(report);
-    }
-
-    fn send_to_domain(&self, reports: &[Report]) {
-        let addresses = self.edge.domain_peer_addresses();
-        self.send_reports(&addresses, reports);
+        let to = match complete {
+            true => &self.topology.candidates,
+            false => &self.topology.relays,
+        };
+        self.send_reports(to, std::slice::from_ref(&report));
+        self.relay_own_domain(report);
     }
 
     fn send_reports(&self, to: &[SocketAddr], reports: &[Report]) {
+        if to.is_empty() {
+            return;
+        }
         for datagram in datagrams(reports) {
             for address in to {
                 self.peers.send_datagram(*address, datagram.clone());
@@ -135,48 +180,46 @@
         }
     }
 
-    /// Queues a report for other domains if this daemon is a relay. The second relay is the
-    /// backup of the first one, so it only relays reports that must not be lost if the first
-    /// one fails.
-    fn queue_relay(&mut self, report: Report) {
-        let now = self.edge.clock.now();
-        let urgent = report.has_failures();
-        let should_relay = match self.edge.lock_state().fleet.relay_position(now) {
-            Some(0) => true,
-            Some(_) => urgent || report.complete,
-            None => false,
-        };
-        if !should_relay {
-            return;
+    /// Sends a report of the own domain on to the domain and to the relays of the others, if this
+    /// daemon is a relay.
+    fn relay_own_domain(&mut self, report: Report) {
+        if self.relays_report(&report) {
+            self.relay_batch
+                .add(report.clone(), relay_delay(report.has_failures()));
+            self.send_to_domain(report);
         }
-        self.pending_relays.push(report);
-        let due = Instant::now() + relay_delay(urgent);
-        self.relay_due = Some(self.relay_due.map_or(due, |at| at.min(due)));
     }
 
-    fn flush_relays(&mut self) {
-        self.relay_due = None;
+    fn send_to_domain(&mut self, report: Report) {
+        let delay = batch_delay(self.topology.domain_peers.len(), report.has_failures());
+        self.domain_batch.add(report, delay);
+    }
+
+    fn relays_report(&self, report: &Report) -> bool {
         let now = self.edge.clock.now();
-        let reports = std::mem::take(&mut self.pending_relays);
-        let targets = self.edge.lock_state().fleet.relay_targets(now);
-        let addresses: Vec<_> = targets.iter().map(|m| m.peer).collect();
-        self.send_reports(&addresses, &reports);
+        self.topology
+            .relays_report(report.must_arrive(), self.first_relay_heard_at, now)
     }
 
     fn handle_incoming(&mut self, received: Incoming) {
         match received {
             Incoming::Connected(to) => self.send_hello(to),
-            Incoming::Configuration(bytes) => self.handle_configuration(&bytes),
+            Incoming::Configuration(from, bytes) => self.handle_configuration(from, bytes),
             Incoming::Message(from, message) => self.handle_message(from, message),
         }
     }
 
+    /// Introduces this daemon. Only relays name the other members, because each daemon is connected
+    /// to one.
     fn send_hello(&self, to: SocketAddr) {
+        let now = self.edge.clock.now();
         let state = self.edge.lock_state();
+        let is_relay = state.fleet.relay_position(now).is_some();
+        let others = state.fleet.others().filter(|_| is_relay);
         let hello = Message::Hello {
             own: state.fleet.own().clone(),
-            others: state.fleet.others().cloned().collect(),
-            has_configuration: state.configuration.is_some(),
+            others: others.cloned().collect(),
+            has_state: state.configuration.is_some() && !state.servers.is_empty(),
         };
         drop(state);
         self.peers.send(to, vec![hello]);
@@ -187,11 +230,11 @@
             Message::Hello {
                 own,
                 others,
-                has_configuration,
-            } => self.handle_hello(from, own, others, has_configuration),
+                has_state,
+            } => self.handle_hello(from, own, others, has_state),
             Message::Members(members) => self.learn_members(members, false),
             Message::Reports(reports) => self.handle_reports(from, reports),
-            Message::Store(update) => self.edge.apply_store_update(update),
+            Message::Store(update) => self.handle_store_update(from, update),
             // The stream reader reassembles the parts.
             Message::ConfigurationPart { .. } => {}
         }
@@ -202,14 +245,13 @@
         from: SocketAddr,
         own: Member,
         others: Vec<Member>,
-        has_configuration: bool,
+        has_state: bool,
     ) {
-        let same_domain = own.domain == self.edge.lock_state().fleet.own().domain;
         self.learn_members(vec![own], true);
         self.learn_members(others, false);
         let now = self.edge.clock.now();
         let is_relay = self.edge.lock_state().fleet.relay_position(now).is_some();
-        if !has_configuration && same_domain && is_relay {
+        if !has_state && is_relay {
             let update = self.edge.full_store_update();
             self.peers.send(from, store_messages(&update));
         }
@@ -223,11 +265,11 @@
             .into_iter()
             .filter(|m| state.fleet.learn(m.clone(), direct, now))
             .collect();
-        let recipients = state.fleet.link_targets(now);
         drop(state);
         if new_members.is_empty() {
             return;
         }
+        self.update_topology();
         for member in &new_members {
             tracing::info!(
                 vm = &*member.vm,
@@ -237,49 +279,85 @@
             );
         }
         self.connect_due = Instant::now();
-        for recipient in recipients {
-            self.peers
-                .send(recipient.peer, vec![Message::Members(new_members.clone())]);
+        let message = Message::Members(new_members);
+        let Topology {
+            relay_position,
+            candidates,
+            domain_peers,
+            relay_targets,
+            ..
+        } = &self.topology;
+        let recipients = match relay_position {
+            Some(_) => domain_peers,
+            None => candidates,
+        };
+        for recipient in recipients.iter().chain(relay_targets) {
+            self.peers.send(*recipient, vec![message.clone()]);
         }
     }
 
     fn handle_reports(&mut self, from: SocketAddr, reports: Vec<Report>) {
         let now = self.edge.clock.now();
-        let own_domain = self.edge.lock_state().fleet.own().domain.clone();
-        let mut other_domain_reports = Vec::new();
+        if self.topology.first_relay == Some(from) {
+            self.first_relay_heard_at = now;
+        }
+        let is_relay = self.topology.relay_position.is_some();
+        let from_other_domain = self.topology.other_domains.contains(&from);
+        let edge = self.edge.clone();
         for report in reports {
-            let Some(domain) = self.edge.apply_report(&report, now) else {
+            let Some(domain) = edge.apply_report(&report, now) else {
                 continue;
             };
-            if domain == own_domain {
-                self.queue_relay(report);
-            } else {
-                other_domain_reports.push(report);
+            if !is_relay {
+                continue;
+            }
+            if *domain == *edge.settings.domain {
+                self.relay_own_domain(report);
+            } else if from_other_domain {
+                // Reports that another relay of this domain sends on have reached the domain.
+                self.send_to_domain(report);
             }
         }
-        // Reports of other domains are forwarded to the own domain only if the sender is in
-        // another domain itself.
-        let is_other_domain_sender = {
-            let state = self.edge.lock_state();
-            state
-                .fleet
-                .others()
-                .any(|m| m.peer == from && m.domain != own_domain)
-        };
-        if is_other_domain_sender && !other_domain_reports.is_empty() {
-            self.send_to_domain(&other_domain_reports);
+    }
+
+    /// Applies changes of the store. A relay sends those on to its domain that it gets from another
+    /// domain and that are new to it, or that a daemon of its domain has just read.
+    fn handle_store_update(&mut self, from: SocketAddr, update: StoreUpdate) {
+        let new = self.edge.apply_store_update(update);
+        self.send_store_update(from, new);
+    }
+
+    fn send_store_update(&self, from: SocketAddr, update: StoreUpdate) {
+        let messages = store_messages(&update);
+        let is_relay = self.topology.relay_position.is_some();
+        if messages.is_empty() || !is_relay || !self.topology.other_domains.contains(&from) {
+            return;
+        }
+        for address in &self.topology.domain_peers {
+            self.peers.send(*address, messages.clone());
         }
     }
 
-    fn handle_configuration(&self, bytes: &Bytes) {
-        match configuration::decode_spec(bytes) {
-            Ok(decoded) => {
-                self.edge
-                    .install_configuration(Arc::new(decoded), Some(bytes.clone()), "peer")
-            }
+    fn handle_configuration(&self, from: SocketAddr, bytes: Bytes) {
+        let decoded = match configuration::decode_spec(&bytes) {
+            Ok(decoded) => decoded,
             Err(error) => {
-                tracing::warn!(%error, "configuration: a peer sent a malformed configuration")
+                tracing::warn!(%error, "configuration: a peer sent a malformed configuration");
+                return;
             }
+        };
+        let is_new =
+            self.edge
+                .install_configuration(Arc::new(decoded), Some(bytes.clone()), "peer");
+        if is_new {
+            let configuration = Some(bytes);
+            self.send_store_update(
+                from,
+                StoreUpdate {
+                    configuration,
+                    ..StoreUpdate::default()
+                },
+            );
         }
     }
 
@@ -394,6 +472,7 @@
             Lifecycle::Serving => DaemonStatus::NotReady,
         };
         let mut state = self.lock_state();
+        state.fleet.set_own_status(status);
         let PendingReport {
             evidence,
             changed,
@@ -455,15 +534,17 @@
         Some(domain)
     }
 
-    /// Applies changes sent by a daemon that watches the store.
-    pub fn apply_store_update(&self, update: StoreUpdate) {
-        for entry in update.entries {
-            self.apply_entry(entry, "peer");
-        }
-        for removal in &update.removed {
-            self.remove_entry(removal, "peer");
-        }
+    /// Applies changes sent by another daemon, and returns those that were new.
+    pub fn apply_store_update(&self, mut update: StoreUpdate) -> StoreUpdate {
+        update
+            .entries
+            .retain(|entry| self.apply_entry(entry.clone(), "peer"));
+        update
+            .removed
+            .retain(|removal| self.remove_entry(removal, "peer"));
         self.lock_state().record_leaving(&update.leaving);
+        update.leaving.clear();
+        update
     }
 
     /// Returns all backend servers and the configuration, for a daemon that has neither.
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -82,9 +82,9 @@
         own: Member,
         /// All other members that the sender knows.
         others: Vec<Member>,
-        /// Whether the sender has a configuration. If not, a relay of its domain sends it the
-        /// state of the store.
-        has_configuration: bool,
+        /// Whether the sender has a configuration and servers. If not, a relay sends it the state of
+        /// the store.
+        has_state: bool,
     },
     /// Members that the sender has just discovered.
     Members(Vec<Member>),
@@ -108,8 +108,8 @@
     Connected(SocketAddr),
     /// A message was received from this address.
     Message(SocketAddr, Message),
-    /// All parts of a configuration were received.
-    Configuration(Bytes),
+    /// All parts of a configuration were received from this address.
+    Configuration(SocketAddr, Bytes),
 }
 
 /// Connections to other daemons, by address.
@@ -353,7 +353,7 @@
                 configuration.extend_from_slice(&bytes);
                 if last {
                     let bytes = std::mem::take(&mut configuration).into();
-                    peers.deliver(Incoming::Configuration(bytes));
+                    peers.deliver(Incoming::Configuration(from, bytes));
                 }
             }
             message => peers.deliver(Incoming::Message(from, message)),
--- a/crates/corianderworks_edge/src/registration.rs
+++ b/crates/corianderworks_edge/src/registration.rs
@@ -37,7 +37,7 @@
     }
     let mut retry_delay = RETRY_DELAY_MIN;
     loop {
-        match daemons::register(&store, &own).await {
+        match daemons::register(&store, &own, edge.settings.first_start).await {
             Ok(()) => break,
             Err(error) => tracing::warn!(%error, "fleet: cannot register, trying again"),
         }
@@ -67,7 +67,7 @@
 /// Fails if the store doesn't respond or refuses a call.
 pub async fn refresh(edge: &Edge, store: &StoreClient) -> Result<(), StoreError> {
     let own = edge.lock_state().fleet.own().clone();
-    daemons::register(store, &own).await?;
+    daemons::register(store, &own, false).await?;
     let registered = daemons::list(store).await?;
     let now = edge.clock.now();
     let (removed, is_first_relay) = {
@@ -98,6 +98,7 @@
                 for registered in records {
                     state.fleet.learn(registered.member, false, now);
                 }
+                state.knows_registered_members = true;
                 return;
             }
             Err(error) => {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -53,6 +53,8 @@
     pub reported_store_view: Option<(StoreView, Duration)>,
     /// Current configuration, encoded as in the store.
     pub configuration_bytes: Option<Bytes>,
+    /// Whether the registered daemons were read from the store.
+    pub knows_registered_members: bool,
     /// Daemons that count as removed but may still have a record in the store.
     pub removed_members: Vec<Member>,
 }
@@ -142,6 +144,7 @@
             pending_report: PendingReport::default(),
             reported_store_view: None,
             configuration_bytes: None,
+            knows_registered_members: false,
             removed_members: Vec::new(),
         };
         Self {
@@ -194,46 +197,52 @@
             && !state.servers.is_empty()
     }
 
-    /// Replaces the current configuration if `configuration` is newer. `source` is logged.
+    /// Replaces the current configuration if `configuration` is newer, and returns whether it is.
+    /// `source` is logged.
     pub fn install_configuration(
         &self,
         configuration: Arc<Configuration>,
         bytes: Option<Bytes>,
         source: &'static str,
-    ) {
+    ) -> bool {
         let mut state = self.lock_state();
         let previous = state.configuration.as_ref().map(|c| c.version.0);
         let (version, routes) = (configuration.version.0, configuration.route_count());
-        if replace_if_newer(&mut state.configuration, configuration) {
-            state.configuration_bytes = bytes;
-            let EdgeState {
-                configuration,
-                load_balancer,
-                ..
-            } = &mut *state;
-            if let Some(configuration) = configuration {
-                load_balancer.retain_routes(|name| configuration.has_route(name));
-            }
-            tracing::info!(
-                version,
-                before = previous,
-                routes,
-                source,
-                "configuration: in force"
-            );
+        if !replace_if_newer(&mut state.configuration, configuration) {
+            return false;
         }
+        state.configuration_bytes = bytes;
+        let EdgeState {
+            configuration,
+            load_balancer,
+            ..
+        } = &mut *state;
+        if let Some(configuration) = configuration {
+            load_balancer.retain_routes(|name| configuration.has_route(name));
+        }
+        tracing::info!(
+            version,
+            before = previous,
+            routes,
+            source,
+            "configuration: in force"
+        );
+        true
     }
 
-    /// Adds or updates the backend server of a store entry.
-    pub fn apply_entry(&self, entry: ServerEntry, source: &'static str) {
+    /// Adds or updates the backend server of a store entry, and returns whether that changed
+    /// anything.
+    pub fn apply_entry(&self, entry: ServerEntry, source: &'static str) -> bool {
         let now = self.clock.now();
         let mut state = self.lock_state();
         let change = state.servers.upsert(entry, now);
         handle_change(&mut state, &change, source, now);
+        change != Change::Unchanged
     }
 
-    /// Handles the removal of a backend server's entry from the store.
-    pub fn remove_entry(&self, removal: &EntryRemoval, source: &'static str) {
+    /// Handles the removal of a backend server's entry from the store, and returns whether that
+    /// changed anything.
+    pub fn remove_entry(&self, removal: &EntryRemoval, source: &'static str) -> bool {
         let EntryRemoval {
             id,
             revision,
@@ -251,6 +260,7 @@
             );
         }
         handle_change(&mut state, &change, source, now);
+        change != Change::Unchanged
     }
 
     /// Replaces all backend servers by those of a complete listing of the store as of `revision`.
@@ -386,11 +396,14 @@
         self.lock_state().fleet.addresses_for(domain, ready, now)
     }
 
-    /// Returns the peer addresses of the other daemons in the own domain that are up.
-    pub fn domain_peer_addresses(&self) -> Vec<std::net::SocketAddr> {
+    /// Returns the peer addresses of the daemons to which a daemon that watches the store sends
+    /// changes: its domain and the relays of the others.
+    pub fn store_update_recipients(&self) -> Vec<std::net::SocketAddr> {
         let now = self.clock.now();
         let state = self.lock_state();
-        state.fleet.domain_peers(now).map(|m| m.peer).collect()
+        let domain_peers = state.fleet.domain_peers(now).map(|m| m.peer);
+        let relays = state.fleet.relay_targets(now);
+        domain_peers.chain(relays.iter().map(|m| m.peer)).collect()
     }
 
     /// Counts an attempt as in flight at a backend server until the guard is dropped.
@@ -533,5 +546,6 @@
         domain: settings.domain.as_str().into(),
         peer: std::net::SocketAddr::new(settings.address, settings.peer_port),
         callers: settings.callers,
+        capacity_millicores: settings.capacity_millicores,
     }
 }
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -12,23 +12,35 @@
 use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_platform::store::{ObjectEvent, StoreClient, StoreError, StoredObject};
 use corianderworks_platform::{configuration, servers};
+use rand::Rng;
 use tokio::time::{Instant, sleep};
 
 use crate::peers::{Peers, StoreUpdate, store_messages};
 use crate::state::{Edge, EntryRemoval};
 
-/// Longest time that a watch waits for changes. Each response shows that the store is reachable,
-/// so this bounds the time for which a lost connection goes unnoticed.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Maximum age of the reported view. If it is older, the daemon reads the store itself. One watch
-/// timeout plus the delay of a report; changes have to be in force within 2 s.
-const VIEW_MAX_AGE: Duration = Duration::from_millis(1_600);
-/// Time for which the own view may differ from the reported one before the store is read.
-const MISMATCH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that a watch waits for changes, as a share of the time within which changes have to
+/// be in force. Each response shows that the store is reachable, so this bounds the time for which a
+/// lost connection goes unnoticed.
+const WATCH_TIMEOUT_SHARE: f64 = 0.6;
+/// Maximum age of the reported view, as a share of the same time. If it is older, the daemon reads
+/// the store itself. One watch timeout plus the delay of a report.
+const VIEW_MAX_AGE_SHARE: f64 = 0.8;
+/// Delay before the next watch after a change, as a share of the same time, so that one response
+/// returns several changes.
+const BATCH_DELAY_SHARE: f64 = 0.075;
+/// Shortest and longest time for which the own view may differ from the reported one before the
+/// store is read. The daemons of a domain choose different times, and the first one that reads the
+/// store sends on what it finds.
+const MISMATCH_TIMEOUT_MIN: Duration = Duration::from_millis(300);
+const MISMATCH_TIMEOUT_MAX: Duration = Duration::from_millis(600);
+/// Time for which a starting daemon waits for the state of another one before it reads the store.
+const INITIAL_STATE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Same at the first start of the fleet, when the daemons have to find each other first.
+const INITIAL_STATE_TIMEOUT_FIRST_START: Duration = Duration::from_millis(2_500);
+/// Interval at which a starting daemon checks whether it has that state.
+const INITIAL_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between comparisons of the own view with the reported one.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay before the next watch after a change, so that one response returns several changes.
-const BATCH_DELAY: Duration = Duration::from_millis(150);
 /// First and longest delay before the retry of a failed call. It doubles with each failure.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
@@ -74,8 +86,9 @@
     /// Revision to watch from; `None` if changes since the last call may have been missed and the
     /// objects have to be listed again.
     revision: Option<u64>,
-    /// Since when the own view differs from the reported one.
-    mismatch_since: Option<Instant>,
+    /// When the store is read because the own view differs from the reported one; `None` if it
+    /// doesn't.
+    mismatch_read_at: Option<Instant>,
     /// Revision of each object that could not be decoded. Each revision is logged once.
     undecodable_revisions: HashMap<String, u64>,
 }
@@ -95,13 +108,13 @@
             reachable: false,
             retry_delay: RETRY_DELAY_MIN,
             revision: None,
-            mismatch_since: None,
+            mismatch_read_at: None,
             undecodable_revisions: HashMap::new(),
         }
     }
 
     async fn run(mut self) {
-        self.list().await;
+        self.wait_for_initial_state().await;
         loop {
             match (self.source(), self.revision) {
                 (Source::Store, Some(revision)) => self.watch(revision).await,
@@ -111,6 +124,35 @@
         }
     }
 
+    /// Waits until another daemon has sent the state of the store, so that not all daemons of a
+    /// starting fleet read it. Daemons that watch the store read it as soon as they know that they
+    /// do.
+    async fn wait_for_initial_state(&self) {
+        let timeout = match self.edge.settings.first_start {
+            true => INITIAL_STATE_TIMEOUT_FIRST_START,
+            false => INITIAL_STATE_TIMEOUT,
+        };
+        let deadline = Instant::now() + timeout;
+        while Instant::now() < deadline && !self.has_state() {
+            if self.edge.lock_state().knows_registered_members && self.is_watcher() {
+                return;
+            }
+            sleep(INITIAL_STATE_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn has_state(&self) -> bool {
+        let state = self.edge.lock_state();
+        match self.object_kind {
+            ObjectKind::Configuration => state.configuration.is_some(),
+            ObjectKind::Servers => !state.servers.is_empty(),
+        }
+    }
+
+    fn share_of_apply_timeout(&self, share: f64) -> Duration {
+        self.edge.settings.apply_timeout.mul_f64(share)
+    }
+
     fn is_watcher(&self) -> bool {
         self.edge
             .lock_state()
@@ -124,7 +166,8 @@
         if state.fleet.watches_store(now) {
             return Source::Store;
         }
-        let is_recent = |at: Duration| now.saturating_sub(at) < VIEW_MAX_AGE;
+        let is_recent =
+            |at: Duration| now.saturating_sub(at) < self.share_of_apply_timeout(VIEW_MAX_AGE_SHARE);
         match state.reported_store_view {
             Some((_, at)) if is_recent(at) => Source::Peers,
             _ => Source::Store,
@@ -138,12 +181,15 @@
         self.revision = None;
         sleep(COMPARE_INTERVAL).await;
         if !self.has_mismatch() {
-            self.mismatch_since = None;
+            self.mismatch_read_at = None;
             return;
         }
-        let since = *self.mismatch_since.get_or_insert(Instant::now());
-        if since.elapsed() >= MISMATCH_TIMEOUT {
-            self.mismatch_since = None;
+        let read_at = *self.mismatch_read_at.get_or_insert_with(|| {
+            let range = MISMATCH_TIMEOUT_MIN..MISMATCH_TIMEOUT_MAX;
+            Instant::now() + rand::rng().random_range(range)
+        });
+        if Instant::now() >= read_at {
+            self.mismatch_read_at = None;
             tracing::info!(
                 kind = self.object_kind.as_str(),
                 "store: own view differs from the reported one, listing again"
@@ -169,7 +215,8 @@
             Ok(listing) => {
                 self.handle_success();
                 self.log_unnamed(listing.unnamed);
-                self.apply_list(&listing.objects, listing.revision);
+                let update = self.apply_list(&listing.objects, listing.revision);
+                self.send_if_watcher(&update);
                 self.revision = Some(listing.revision);
                 self.report_store_view();
             }
@@ -178,9 +225,10 @@
     }
 
     async fn watch(&mut self, revision: u64) {
+        let timeout = self.share_of_apply_timeout(WATCH_TIMEOUT_SHARE);
         match self
             .store
-            .watch(self.object_kind.as_str(), revision, WATCH_TIMEOUT)
+            .watch(self.object_kind.as_str(), revision, timeout)
             .await
         {
             Ok(changes) => {
@@ -188,10 +236,11 @@
                 self.revision = Some(changes.revision);
                 let has_changes = !changes.events.is_empty();
                 self.log_unnamed(changes.unnamed);
-                self.apply_events(changes.events);
+                let update = self.apply_events(changes.events);
+                self.send_if_watcher(&update);
                 self.report_store_view();
                 if has_changes {
-                    sleep(BATCH_DELAY).await;
+                    sleep(self.share_of_apply_timeout(BATCH_DELAY_SHARE)).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
@@ -253,11 +302,15 @@
         }
     }
 
-    fn apply_list(&mut self, objects: &[StoredObject], revision: u64) {
+    /// Applies a complete list and returns what it contains.
+    fn apply_list(&mut self, objects: &[StoredObject], revision: u64) -> StoreUpdate {
+        let mut update = StoreUpdate::default();
         match self.object_kind {
             ObjectKind::Configuration => {
                 for object in objects {
-                    self.apply_configuration(object);
+                    if let Some(bytes) = self.apply_configuration(object) {
+                        update.configuration = Some(bytes);
+                    }
                 }
             }
             ObjectKind::Servers => {
@@ -265,13 +318,15 @@
                     .iter()
                     .filter_map(|o| self.decode_entry(o))
                     .collect();
-                self.edge.replace_servers(entries, revision, "list");
+                self.edge.replace_servers(entries.clone(), revision, "list");
+                update.entries = entries;
             }
         }
+        update
     }
 
-    /// Applies changes and sends them to the other daemons of the domain.
-    fn apply_events(&mut self, events: Vec<ObjectEvent>) {
+    /// Applies changes and returns them.
+    fn apply_events(&mut self, events: Vec<ObjectEvent>) -> StoreUpdate {
         let mut update = StoreUpdate::default();
         for event in events {
             match self.object_kind {
@@ -284,11 +339,17 @@
                 ObjectKind::Servers => self.handle_server_event(&event, &mut update),
             }
         }
-        let messages = store_messages(&update);
+        update
+    }
+
+    /// Sends what was read to the own domain and to the other relays if this daemon watches the
+    /// store for others.
+    fn send_if_watcher(&self, update: &StoreUpdate) {
+        let messages = store_messages(update);
         if messages.is_empty() || !self.is_watcher() {
             return;
         }
-        for address in self.edge.domain_peer_addresses() {
+        for address in self.edge.store_update_recipients() {
             self.peers.send(address, messages.clone());
         }
     }
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -301,6 +301,8 @@
             extra: 60.0,
             window: Duration::from_secs(10),
         },
+        capacity_millicores: 200,
+        apply_timeout: Duration::from_secs(2),
     }
 }
 
