Count requests as in flight until their responses are written; accept what the kernel has accepted

Cause: a stopping daemon exits when no request is in flight. A request ended when its response was known, so a large or slowly read response was cut off by the exit. When the listener was closed, connections in its queue were reset, and idle connections were closed although a request had arrived on them.

Change: the guard of a request is taken when its head is read and dropped when its response is written. Established connections are accepted before the listener is closed, and idle ones are read for 50 ms more.

--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -23,7 +23,7 @@
 use crate::http1::{BodyDecoder, Decoded, Framing, MessageError, RequestHead, take_request_head};
 use crate::reason::Reason;
 use crate::reply::{Reply, RestFraming, encode_chunk};
-use crate::state::{BodyMemoryGuard, Edge, Lifecycle};
+use crate::state::{BodyMemoryGuard, Edge, Lifecycle, RequestGuard};
 
 /// Capacity of the queue of pending responses of a connection; limits its concurrent requests.
 const PIPELINED_REQUESTS_MAX: usize = 32;
@@ -34,6 +34,9 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(10_000);
 /// Space reserved in the read buffer of a connection before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Time for which an idle connection is still read after the daemon has stopped accepting. A request
+/// may have arrived that wasn't read yet, and the caller could not tell whether it ran.
+const STOP_READ_TIMEOUT: Duration = Duration::from_millis(50);
 /// Delay after a failed accept, for example because of too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -70,7 +73,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = life.wait_for(|l| closes_listener(*l)) => return,
+            _ = life.wait_for(|l| closes_listener(*l)) => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -82,15 +85,40 @@
             }
         }
     }
+    if let Err(error) = accept_established(&edge, listener) {
+        tracing::warn!(%error, "caller: established connections not accepted");
+    }
+}
+
+/// Accepts the connections that the kernel has already established. Closing the listener would reset
+/// them, after their callers may have sent requests.
+fn accept_established(edge: &Arc<Edge>, listener: TcpListener) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                tokio::spawn(serve(edge.clone(), TcpStream::from_std(stream)?));
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 fn closes_listener(life: Lifecycle) -> bool {
     matches!(life, Lifecycle::Stopping(Phase::Finishing | Phase::Exit))
 }
 
+/// Response to a request that is in flight until the response is written.
+struct Answer {
+    reply: Reply,
+    request: Option<RequestGuard>,
+}
+
 /// Response that is written when those to all earlier requests are written.
 struct PendingReply {
-    reply: JoinHandle<Reply>,
+    answer: JoinHandle<Answer>,
     /// Whether the connection is closed after this response.
     close: bool,
 }
@@ -228,7 +256,12 @@
             match self.fill_buffer(deadline, !head_started).await {
                 FillResult::More => {}
                 FillResult::Closed => return ReadEnd::CallerLeft,
-                FillResult::Stop => return ReadEnd::Finish,
+                FillResult::Stop => {
+                    let deadline = Instant::now() + STOP_READ_TIMEOUT;
+                    if !matches!(self.fill_buffer(deadline, false).await, FillResult::More) {
+                        return ReadEnd::Finish;
+                    }
+                }
                 FillResult::TimedOut if head_started => {
                     return self.reject(Reason::SlowRequest, None).await;
                 }
@@ -276,6 +309,7 @@
     /// Reads the body of a request and starts a task that forwards the request.
     async fn request(&mut self, head: RequestHead, limits: CallerLimits) -> Option<ReadEnd> {
         let received_at = Instant::now();
+        let guard = self.edge.start_request();
         let id = head
             .headers
             .get(headers::REQUEST_ID)
@@ -283,7 +317,12 @@
         if head.headers.has_token("expect", "100-continue") {
             // Goes through the queue, so that it doesn't precede responses to earlier requests.
             let pending = PendingReply {
-                reply: tokio::spawn(async { Reply::Continue }),
+                answer: tokio::spawn(async {
+                    Answer {
+                        reply: Reply::Continue,
+                        request: None,
+                    }
+                }),
                 close: false,
             };
             if self.pending.send(pending).await.is_err() {
@@ -305,17 +344,20 @@
             received_at,
         };
         let edge = self.edge.clone();
-        let reply = tokio::spawn(async move {
+        let answer = tokio::spawn(async move {
             let reply = forward_request(edge, request).await;
             drop(reservation);
-            reply
+            Answer {
+                reply,
+                request: Some(guard),
+            }
         });
-        self.tasks.push(AbortOnDrop(reply.abort_handle()));
+        self.tasks.push(AbortOnDrop(answer.abort_handle()));
         let close = !keep_alive;
         // Applies backpressure: waits while the queue of pending responses is full.
         if self
             .pending
-            .send(PendingReply { reply, close })
+            .send(PendingReply { answer, close })
             .await
             .is_err()
         {
@@ -380,8 +422,16 @@
             "caller: rejected"
         );
         self.edge.metrics.request(reason, Duration::ZERO);
-        let reply = tokio::spawn(async move { Reply::local(reason, id) });
-        match self.pending.send(PendingReply { reply, close: true }).await {
+        let request = Some(self.edge.start_request());
+        let answer = tokio::spawn(async move {
+            let reply = Reply::local(reason, id);
+            Answer { reply, request }
+        });
+        let pending = PendingReply {
+            answer,
+            close: true,
+        };
+        match self.pending.send(pending).await {
             Ok(()) => ReadEnd::Finish,
             Err(_) => ReadEnd::CallerLeft,
         }
@@ -401,9 +451,9 @@
     mut pending: mpsc::Receiver<PendingReply>,
     closing: watch::Sender<bool>,
 ) -> Option<OwnedWriteHalf> {
-    while let Some(PendingReply { reply, close }) = pending.recv().await {
+    while let Some(PendingReply { answer, close }) = pending.recv().await {
         // The task is aborted only if the caller has disconnected.
-        let reply = reply.await.ok()?;
+        let Answer { reply, request } = answer.await.ok()?;
         let interim = matches!(reply, Reply::Continue);
         // Requests after a response with `connection: close` are not answered, so a stopping daemon
         // closes the connection only after the last request that it has started to process.
@@ -416,6 +466,7 @@
             tracing::debug!(%error, "caller: response not written");
             return None;
         }
+        drop(request);
         if close {
             break;
         }
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -62,7 +62,6 @@
 ///
 /// Dropping the future aborts the attempts and logs that the caller disconnected.
 pub async fn forward_request(edge: Arc<Edge>, request: CallerRequest) -> Reply {
-    let _guard = edge.start_request();
     let request_id = request.request_id();
     let head = request.head.clone();
     let received_at = request.received_at;
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -419,7 +419,8 @@
         }
     }
 
-    /// Counts a request as in flight until the guard is dropped.
+    /// Counts a request as in flight until the guard is dropped: from the moment at which its head
+    /// was read until its response is written.
     pub fn start_request(self: &Arc<Self>) -> RequestGuard {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         RequestGuard { edge: self.clone() }
