Let a starting fleet find its relays without reading the store

Change: at the first start of a fleet a member counts as up for 4 s before its first report. Relays connect to members that do not know them. Only relays pass members on, once; a daemon that gets reports of unknown daemons asks a relay for the members. The state of another daemon comes with the last reported view. The second relay leaves heartbeats of other domains to the first one. Log lines of changed servers are limited like those of requests. A daemon whose synchronization with store or peers ends by a panic exits, so that it is restarted, in place of going on with an outdated state. The grace period that a peer names is limited.

Tests: members_without_a_report_count_as_up_for_longer_at_the_first_start, relays_connect_to_members_that_do_not_know_them.

--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -26,6 +26,10 @@
 const DOWN_AFTER: Duration = Duration::from_millis(1_600);
 /// Same for daemons of other domains, whose reports pass through two relays.
 const DOWN_AFTER_OTHER_DOMAIN: Duration = Duration::from_millis(2_500);
+/// Time for which a registered daemon counts as up before its first report at the first start of the
+/// fleet. All VMs start at the same time, and weak ones take seconds to connect; without this time,
+/// each daemon would take itself for a relay meanwhile.
+const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time without a report after which a daemon is removed from the known members. Network
 /// partitions between regions last minutes, and a daemon that is only partitioned must stay
 /// known. A daemon that no longer exists causes futile connection attempts until it is removed.
@@ -142,6 +146,7 @@
 pub struct Fleet {
     own: Member,
     own_status: DaemonStatus,
+    is_first_start: bool,
     known: HashMap<Arc<str>, KnownMember>,
     by_key: HashMap<RunKey, Arc<str>>,
 }
@@ -152,11 +157,20 @@
         Self {
             own,
             own_status: DaemonStatus::NotReady,
+            is_first_start: false,
             known: HashMap::new(),
             by_key: HashMap::new(),
         }
     }
 
+    /// Creates a fleet whose VMs all start now, so that no record is of an earlier run.
+    pub fn at_first_start(own: Member) -> Self {
+        Self {
+            is_first_start: true,
+            ..Self::new(own)
+        }
+    }
+
     /// Returns this daemon's own member record.
     pub fn own(&self) -> &Member {
         &self.own
@@ -231,6 +245,7 @@
 
     fn received_recently(&self, known: &KnownMember, now: Duration) -> bool {
         let limit = match known.member.domain == self.own.domain {
+            _ if self.is_first_start && !known.has_reported => FIRST_REPORT_TIMEOUT,
             true => DOWN_AFTER,
             false => DOWN_AFTER_OTHER_DOMAIN,
         };
@@ -310,10 +325,21 @@
         candidates
     }
 
-    /// Returns the members that this daemon should keep connections to.
+    /// Returns the members that this daemon should keep connections to: the other candidates of its
+    /// domain, or all members of the domain if it is a relay. The others connect to the relays
+    /// themselves, but one that doesn't know them yet has to be reached.
     pub fn link_targets(&self, now: Duration) -> Vec<Member> {
-        let candidates = self.other_candidates(now).into_iter().cloned();
-        candidates.chain(self.relay_targets(now)).collect()
+        let own_domain: Vec<_> = match self.relay_position(now) {
+            Some(_) => {
+                let in_domain = self.others().filter(|m| m.domain == self.own.domain);
+                in_domain.cloned().collect()
+            }
+            None => self.other_candidates(now).into_iter().cloned().collect(),
+        };
+        own_domain
+            .into_iter()
+            .chain(self.relay_targets(now))
+            .collect()
     }
 
     /// Returns what this daemon exchanges with which other daemons.
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -339,7 +339,9 @@
         }
         server.entry.revision = revision;
         if !grace.is_zero() && !server.entry.draining {
-            server.expires_at.get_or_insert(now + grace);
+            server
+                .expires_at
+                .get_or_insert(now + grace.min(LAPSE_GRACE));
             return Change::Lapsed(key);
         }
         self.remove_server(key, now);
--- a/crates/corianderworks_decision/tests/edge_fleet.rs
+++ b/crates/corianderworks_decision/tests/edge_fleet.rs
@@ -227,3 +227,28 @@
     let other = fleet_of("a3", at_ms(0)).topology(at_ms(1));
     assert!(!other.relays_report(true, at_ms(0), at_ms(5_700)));
 }
+
+/// At the first start of a fleet, weak VMs take seconds until their first report. A daemon that
+/// dropped them would take itself for a relay and read the store.
+#[test]
+fn members_without_a_report_count_as_up_for_longer_at_the_first_start() {
+    let own = member("a3", "a", 1);
+    for (mut fleet, is_relay) in [
+        (Fleet::at_first_start(own.clone()), false),
+        (Fleet::new(own.clone()), true),
+    ] {
+        for vm in ["a1", "a2", "a4"] {
+            fleet.learn(member(vm, "a", 1), false, at_ms(0));
+        }
+        assert_eq!(fleet.relay_position(at_ms(3_000)).is_some(), is_relay);
+        assert!(fleet.relay_position(at_ms(4_100)).is_some());
+    }
+}
+
+#[test]
+fn relays_connect_to_members_that_do_not_know_them() {
+    let relay = fleet_of("a1", at_ms(0));
+    let mut targets = relay.link_targets(at_ms(100));
+    targets.sort_by(|a, b| a.vm.cmp(&b.vm));
+    assert_eq!(names(&targets), ["a2", "a3", "b1", "c1", "d1"]);
+}
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::{Instant, interval, sleep};
 
 use crate::metrics::{Metrics, MetricsError};
@@ -48,6 +49,9 @@
     /// The socket for connections between daemons can't be opened.
     #[error(transparent)]
     Peers(#[from] PeerError),
+    /// A task that keeps the state in sync has ended, with the panic that ended it.
+    #[error("synchronization with the store or the peers has ended: {0:?}")]
+    SyncEnded(Option<JoinError>),
     /// The metrics exporter can't be registered.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -80,8 +84,9 @@
         store.clone(),
         peers.clone(),
     ));
-    tokio::spawn(store_sync::run(edge.clone(), store, peers.clone()));
-    tokio::spawn(peer_sync::run(edge.clone(), peers, incoming));
+    let mut sync_tasks = JoinSet::new();
+    sync_tasks.spawn(store_sync::run(edge.clone(), store, peers.clone()));
+    sync_tasks.spawn(peer_sync::run(edge.clone(), peers, incoming));
     let (error_sender, mut error_receiver) = mpsc::channel(1);
     let caller_edge = edge.clone();
     tokio::spawn(async move {
@@ -100,6 +105,10 @@
             Some(error) = error_receiver.recv() => {
                 return Err(DaemonError::Listen { address: settings.callers, error });
             }
+            // Without these tasks the daemon would go on with a state that is never updated.
+            Some(ended) = sync_tasks.join_next() => {
+                return Err(DaemonError::SyncEnded(ended.err()));
+            }
             _ = signals.reload.recv() => check_changed_settings(&path, &settings),
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -24,6 +24,10 @@
 
 /// Largest number of reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 32;
+/// Shortest time between two requests for the members of the fleet.
+const MEMBERS_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest number of members that are logged one by one when they are discovered together.
+const DISCOVERED_LOGGED_MAX: usize = 3;
 /// Interval at which the topology is worked out again from the members that are up.
 const TOPOLOGY_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between attempts to connect to a peer.
@@ -42,6 +46,8 @@
         topology: Topology::default(),
         topology_due: now,
         first_relay_heard_at: Duration::ZERO,
+        has_unknown_origins: false,
+        members_request_due: now,
         domain_batch: Batch::default(),
         relay_batch: Batch::default(),
         report_due: None,
@@ -62,6 +68,9 @@
     topology_due: Instant,
     /// Time of the last datagram from the first relay of the domain.
     first_relay_heard_at: Duration,
+    /// Whether reports of unknown daemons arrived since the last request for members.
+    has_unknown_origins: bool,
+    members_request_due: Instant,
     /// Reports that wait to be sent to the own domain.
     domain_batch: Batch,
     /// Reports of the own domain that wait to be sent to the relays of other domains.
@@ -144,6 +153,7 @@
         if now >= self.connect_due {
             self.connect_due = now + CONNECT_RETRY_INTERVAL;
             self.connect_to_targets();
+            self.request_unknown_members();
         }
         let reports = self.domain_batch.take_due(now);
         self.send_reports(&self.topology.domain_peers, &reports);
@@ -190,8 +200,24 @@
         }
     }
 
+    /// Sends a report of another domain on to the own domain. Heartbeats of other domains may be
+    /// missed longer, so the second relay leaves them to the first one.
+    fn relay_other_domain(&mut self, report: Report) {
+        let must_arrive = report.has_failures() || report.store.is_some();
+        let now = self.edge.clock.now();
+        if self
+            .topology
+            .relays_report(must_arrive, self.first_relay_heard_at, now)
+        {
+            self.send_to_domain(report);
+        }
+    }
+
+    /// Adds a report to the batch for the own domain. The second relay only repeats what the first
+    /// one sends sooner.
     fn send_to_domain(&mut self, report: Report) {
-        let delay = batch_delay(self.topology.domain_peers.len(), report.has_failures());
+        let is_urgent = report.has_failures() && self.topology.relay_position == Some(0);
+        let delay = batch_delay(self.topology.domain_peers.len(), is_urgent);
         self.domain_batch.add(report, delay);
     }
 
@@ -232,7 +258,13 @@
                 others,
                 has_state,
             } => self.handle_hello(from, own, others, has_state),
-            Message::Members(members) => self.learn_members(members, false),
+            Message::Members(members) => {
+                let new_members = self.learn_members(members, false);
+                if self.topology.other_domains.contains(&from) {
+                    self.announce_members(new_members, false);
+                }
+            }
+            Message::MembersRequest => self.send_members(from),
             Message::Reports(reports) => self.handle_reports(from, reports),
             Message::Store(update) => self.handle_store_update(from, update),
             // The stream reader reassembles the parts.
@@ -247,7 +279,8 @@
         others: Vec<Member>,
         has_state: bool,
     ) {
-        self.learn_members(vec![own], true);
+        let introduced = self.learn_members(vec![own], true);
+        self.announce_members(introduced, true);
         self.learn_members(others, false);
         let now = self.edge.clock.now();
         let is_relay = self.edge.lock_state().fleet.relay_position(now).is_some();
@@ -257,8 +290,8 @@
         }
     }
 
-    /// Adds members to the fleet and sends those that are new to all link targets.
-    fn learn_members(&mut self, members: Vec<Member>, direct: bool) {
+    /// Adds members to the fleet. Returns those that are new.
+    fn learn_members(&mut self, members: Vec<Member>, direct: bool) -> Vec<Member> {
         let now = self.edge.clock.now();
         let mut state = self.edge.lock_state();
         let new_members: Vec<_> = members
@@ -267,35 +300,49 @@
             .collect();
         drop(state);
         if new_members.is_empty() {
-            return;
+            return new_members;
         }
         self.update_topology();
-        for member in &new_members {
-            tracing::info!(
-                vm = &*member.vm,
-                domain = &*member.domain,
-                started_unix_ms = member.started_unix_ms,
-                "fleet: member discovered"
-            );
-        }
         self.connect_due = Instant::now();
-        let message = Message::Members(new_members);
-        let Topology {
-            relay_position,
-            candidates,
-            domain_peers,
-            relay_targets,
-            ..
-        } = &self.topology;
-        let recipients = match relay_position {
-            Some(_) => domain_peers,
-            None => candidates,
-        };
-        for recipient in recipients.iter().chain(relay_targets) {
+        log_discovered(&new_members);
+        new_members
+    }
+
+    /// Sends new members on: to the own domain if this daemon is a relay, and to the relays of the
+    /// other domains if one of them introduced itself here.
+    fn announce_members(&self, members: Vec<Member>, introduced_here: bool) {
+        if members.is_empty() || self.topology.relay_position.is_none() {
+            return;
+        }
+        let message = Message::Members(members);
+        let relay_targets = self.topology.relay_targets.iter();
+        let other_relays = relay_targets.filter(|_| introduced_here);
+        for recipient in self.topology.domain_peers.iter().chain(other_relays) {
             self.peers.send(*recipient, vec![message.clone()]);
         }
     }
 
+    /// Asks a relay for the members if reports of unknown ones have arrived.
+    fn request_unknown_members(&mut self) {
+        let now = Instant::now();
+        if !self.has_unknown_origins || now < self.members_request_due {
+            return;
+        }
+        self.has_unknown_origins = false;
+        self.members_request_due = now + MEMBERS_REQUEST_INTERVAL;
+        if let Some(relay) = self.topology.candidates.first() {
+            self.peers.send(*relay, vec![Message::MembersRequest]);
+        }
+    }
+
+    fn send_members(&self, to: SocketAddr) {
+        let state = self.edge.lock_state();
+        let own = std::iter::once(state.fleet.own());
+        let members = own.chain(state.fleet.others()).cloned().collect();
+        drop(state);
+        self.peers.send(to, vec![Message::Members(members)]);
+    }
+
     fn handle_reports(&mut self, from: SocketAddr, reports: Vec<Report>) {
         let now = self.edge.clock.now();
         if self.topology.first_relay == Some(from) {
@@ -305,8 +352,13 @@
         let from_other_domain = self.topology.other_domains.contains(&from);
         let edge = self.edge.clone();
         for report in reports {
-            let Some(domain) = edge.apply_report(&report, now) else {
-                continue;
+            let domain = match edge.apply_report(&report, now) {
+                ReportResult::Applied { domain } => domain,
+                ReportResult::Outdated => continue,
+                ReportResult::UnknownOrigin => {
+                    self.has_unknown_origins = true;
+                    continue;
+                }
             };
             if !is_relay {
                 continue;
@@ -315,7 +367,7 @@
                 self.relay_own_domain(report);
             } else if from_other_domain {
                 // Reports that another relay of this domain sends on have reached the domain.
-                self.send_to_domain(report);
+                self.relay_other_domain(report);
             }
         }
     }
@@ -441,6 +493,34 @@
     }
 }
 
+fn log_discovered(members: &[Member]) {
+    if members.len() > DISCOVERED_LOGGED_MAX {
+        tracing::info!(count = members.len(), "fleet: members discovered");
+        return;
+    }
+    for member in members {
+        tracing::info!(
+            vm = &*member.vm,
+            domain = &*member.domain,
+            started_unix_ms = member.started_unix_ms,
+            "fleet: member discovered"
+        );
+    }
+}
+
+/// What became of a report.
+pub enum ReportResult {
+    /// The report was applied; its origin is in this domain.
+    Applied {
+        /// Domain of the origin.
+        domain: Arc<str>,
+    },
+    /// A later report of the origin was applied before, or the origin is this daemon.
+    Outdated,
+    /// The origin is not known.
+    UnknownOrigin,
+}
+
 /// Encodes reports into datagrams and halves batches that are too long for one. A single report
 /// that is too long is dropped.
 fn datagrams(reports: &[Report]) -> Vec<Bytes> {
@@ -510,13 +590,17 @@
         }
     }
 
-    /// Applies a report. Returns the domain of its origin, or `None` if the origin is unknown or
-    /// the report isn't newer than the last one.
-    pub fn apply_report(&self, report: &Report, now: Duration) -> Option<Arc<str>> {
+    /// Applies a report of another daemon.
+    pub fn apply_report(&self, report: &Report, now: Duration) -> ReportResult {
         let mut state = self.lock_state();
-        let domain = state.fleet.member(report.origin)?.domain.clone();
+        let Some(domain) = state.fleet.member(report.origin).map(|m| m.domain.clone()) else {
+            return match state.fleet.own().key() == report.origin {
+                true => ReportResult::Outdated,
+                false => ReportResult::UnknownOrigin,
+            };
+        };
         if !state.peer_load.accept_sequence(report) {
-            return None;
+            return ReportResult::Outdated;
         }
         state.fleet.record_report(report.origin, report.status, now);
         for (tag, evidence) in &report.evidence {
@@ -531,7 +615,7 @@
         if let Some(view) = report.store {
             state.record_store_view(view, now);
         }
-        Some(domain)
+        ReportResult::Applied { domain }
     }
 
     /// Applies changes sent by another daemon, and returns those that were new.
@@ -542,18 +626,27 @@
         update
             .removed
             .retain(|removal| self.remove_entry(removal, "peer"));
-        self.lock_state().record_leaving(&update.leaving);
+        let mut state = self.lock_state();
+        state.record_leaving(&update.leaving);
         update.leaving.clear();
+        if let Some(view) = update.view.take() {
+            state.record_store_view(view, self.clock.now());
+        }
+        drop(state);
         update
     }
 
     /// Returns all backend servers and the configuration, for a daemon that has neither.
     pub fn full_store_update(&self) -> StoreUpdate {
+        let now = self.clock.now();
         let state = self.lock_state();
+        let is_recent = |at: Duration| now.saturating_sub(at) < self.settings.apply_timeout / 4;
+        let reported = state.reported_store_view.filter(|(_, at)| is_recent(*at));
         StoreUpdate {
             entries: state.servers.entries().cloned().collect(),
             removed: Vec::new(),
             leaving: state.servers.leaving().map(ServerEntry::tag).collect(),
+            view: reported.map(|(view, _)| view),
             configuration: state.configuration_bytes.clone(),
         }
     }
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::fleet::Member;
-use corianderworks_decision::edge::peer_load::{Report, ServerTag};
+use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
 use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_wire::codec::{self, CodecError, PREFIX_BYTES};
 use parking_lot::Mutex;
@@ -69,6 +69,8 @@
     pub removed: Vec<EntryRemoval>,
     /// Servers that said in a response that they are shutting down.
     pub leaving: Vec<ServerTag>,
+    /// View of the store that was reported last, if that was recently.
+    pub view: Option<StoreView>,
     /// New configuration, encoded as in the store.
     pub configuration: Option<Bytes>,
 }
@@ -86,8 +88,10 @@
         /// the store.
         has_state: bool,
     },
-    /// Members that the sender has just discovered.
+    /// Members that the sender has just discovered, or all that it knows.
     Members(Vec<Member>),
+    /// Asks for all members that the receiver knows.
+    MembersRequest,
     /// Reports; the only message that is sent in a datagram.
     Reports(Vec<Report>),
     /// Changes of the store. A configuration is sent in parts instead.
@@ -263,6 +267,12 @@
             ..StoreUpdate::default()
         }));
     }
+    if update.view.is_some() {
+        messages.push(Message::Store(StoreUpdate {
+            view: update.view,
+            ..StoreUpdate::default()
+        }));
+    }
     let mut rest = update.configuration.clone().unwrap_or_default();
     while !rest.is_empty() {
         let bytes = rest.split_to(rest.len().min(CONFIGURATION_PART_BYTES));
--- a/crates/corianderworks_edge/src/registration.rs
+++ b/crates/corianderworks_edge/src/registration.rs
@@ -19,8 +19,8 @@
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(300);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(3_000);
 /// Delay between registering and listing at the first start of the fleet. Its VMs start within 0.3 s
-/// of each other.
-const LIST_DELAY: Duration = Duration::from_millis(600);
+/// of each other, and weak ones take longer to register.
+const LIST_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Registers this daemon in the store, discovers the other daemons, and refreshes the records
 /// until the daemon exits.
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -122,6 +122,8 @@
     pub served_log_limit: LineRateLimiter,
     /// Rate limit for the log lines of all other requests.
     pub failed_log_limit: LineRateLimiter,
+    /// Rate limit for the log lines of changed servers; a list of the store may change all.
+    pub server_log_limit: LineRateLimiter,
     /// Notifies the task that sends reports of new changes.
     pub report_trigger: Notify,
     lifecycle: watch::Sender<Lifecycle>,
@@ -134,12 +136,17 @@
     /// Creates a daemon without a configuration, backend servers or peers.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         let budget = RetryBudget::new(settings.budget, clock.now());
+        let own = own_member(&settings, clock.wall());
+        let fleet = match settings.first_start {
+            true => Fleet::at_first_start(own),
+            false => Fleet::new(own),
+        };
         let state = EdgeState {
             configuration: None,
             servers: Servers::new(),
             load_balancer: LoadBalancer::new(),
             budget,
-            fleet: Fleet::new(own_member(&settings, clock.wall())),
+            fleet,
             peer_load: PeerLoad::default(),
             pending_report: PendingReport::default(),
             reported_store_view: None,
@@ -154,6 +161,7 @@
             metrics,
             served_log_limit: LineRateLimiter::default(),
             failed_log_limit: LineRateLimiter::default(),
+            server_log_limit: LineRateLimiter::default(),
             report_trigger: Notify::new(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
             state: Mutex::new(state),
@@ -236,7 +244,7 @@
         let now = self.clock.now();
         let mut state = self.lock_state();
         let change = state.servers.upsert(entry, now);
-        handle_change(&mut state, &change, source, now);
+        self.handle_change(&mut state, &change, source, now);
         change != Change::Unchanged
     }
 
@@ -259,7 +267,7 @@
                 "servers: entry removed from the store"
             );
         }
-        handle_change(&mut state, &change, source, now);
+        self.handle_change(&mut state, &change, source, now);
         change != Change::Unchanged
     }
 
@@ -269,7 +277,42 @@
         let mut state = self.lock_state();
         let changes = state.servers.replace_all(entries, revision, now);
         for change in &changes {
-            handle_change(&mut state, change, source, now);
+            self.handle_change(&mut state, change, source, now);
+        }
+    }
+
+    /// Logs a change of a backend server, and tells the load balancer of an added or removed one.
+    fn handle_change(
+        &self,
+        state: &mut EdgeState,
+        change: &Change,
+        source: &'static str,
+        now: Duration,
+    ) {
+        let (what, key) = match change {
+            Change::Unchanged => return,
+            Change::Added(key) => {
+                state.load_balancer.add_server(*key, now);
+                ("added", *key)
+            }
+            Change::Updated(key) => ("updated", *key),
+            Change::Draining(key) => ("draining", *key),
+            Change::Lapsed(key) => ("lapsed", *key),
+            Change::Removed(key) => {
+                tracing::info!(server = ?key, source, "servers: removed");
+                state.load_balancer.remove_server(*key);
+                return;
+            }
+        };
+        let Some(omitted) = self.server_log_limit.try_acquire(now) else {
+            return;
+        };
+        if let Some(server) = state.servers.get(key) {
+            let entry = &server.entry;
+            tracing::info!(
+                what, source, server = &*entry.id, service = &*entry.service, address = %entry.address,
+                domain = &*entry.domain, slots = entry.slots, omitted, "servers: changed"
+            );
         }
     }
 
@@ -470,32 +513,6 @@
     pub grace: Duration,
 }
 
-/// Logs a change of a backend server, and tells the load balancer of an added or removed one.
-fn handle_change(state: &mut EdgeState, change: &Change, source: &'static str, now: Duration) {
-    let (what, key) = match change {
-        Change::Unchanged => return,
-        Change::Added(key) => {
-            state.load_balancer.add_server(*key, now);
-            ("added", *key)
-        }
-        Change::Updated(key) => ("updated", *key),
-        Change::Draining(key) => ("draining", *key),
-        Change::Lapsed(key) => ("lapsed", *key),
-        Change::Removed(key) => {
-            tracing::info!(server = ?key, source, "servers: removed");
-            state.load_balancer.remove_server(*key);
-            return;
-        }
-    };
-    if let Some(server) = state.servers.get(key) {
-        let entry = &server.entry;
-        tracing::info!(
-            what, source, server = &*entry.id, service = &*entry.service, address = %entry.address,
-            domain = &*entry.domain, slots = entry.slots, "servers: changed"
-        );
-    }
-}
-
 /// Counts an attempt as in flight at its server until it is dropped.
 pub struct AttemptGuard {
     edge: Arc<Edge>,
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -36,7 +36,7 @@
 /// Time for which a starting daemon waits for the state of another one before it reads the store.
 const INITIAL_STATE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Same at the first start of the fleet, when the daemons have to find each other first.
-const INITIAL_STATE_TIMEOUT_FIRST_START: Duration = Duration::from_millis(2_500);
+const INITIAL_STATE_TIMEOUT_FIRST_START: Duration = Duration::from_millis(4_000);
 /// Interval at which a starting daemon checks whether it has that state.
 const INITIAL_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between comparisons of the own view with the reported one.
@@ -133,7 +133,7 @@
             false => INITIAL_STATE_TIMEOUT,
         };
         let deadline = Instant::now() + timeout;
-        while Instant::now() < deadline && !self.has_state() {
+        while Instant::now() < deadline && !(self.has_state() && self.source() == Source::Peers) {
             if self.edge.lock_state().knows_registered_members && self.is_watcher() {
                 return;
             }
