Let servers leave, pause and repeat refusals in the soak, and write odd entries

The soak's servers say in their responses that they leave while their entries say that they are ready, ask for pauses, and write a refusal once more on a kept connection; another program writes an entry that is nested too deeply. Checked besides: no request of a VM reaches a server after it passed on that the server leaves, and at most two within a pause.

--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -40,8 +40,15 @@
     Hang,
     /// Executes the request and closes the connection before the end of the response.
     Truncate,
+    /// Rejects a request; on later ones on the connection, repeats that response before it responds.
+    RepeatRejection,
+    /// Rejects requests and asks for a pause of [`PAUSE`].
+    Pause,
 }
 
+/// Time for which a server that asks for a pause wants no requests from a daemon.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
+
 #[derive(Debug, Clone)]
 pub struct Identity {
     pub id: String,
@@ -103,12 +110,22 @@
 
     async fn serve(self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
+        let mut rejection = Vec::new();
         while let Some(request) = HttpMessage::read(&mut stream, &mut buffer).await {
-            let response_mode = self.choose_response_mode();
+            let mut response_mode = self.choose_response_mode();
+            if !rejection.is_empty() && response_mode == ResponseMode::RepeatRejection {
+                if stream.write_all(&rejection).await.is_err() {
+                    return;
+                }
+                response_mode = ResponseMode::Normal;
+            }
             let Some(response) = self.respond(&request, response_mode).await else {
                 send_without_end(&mut stream).await;
                 return;
             };
+            if response_mode == ResponseMode::RepeatRejection {
+                rejection.clone_from(&response);
+            }
             if stream.write_all(&response).await.is_err() || response_mode == ResponseMode::Truncate
             {
                 return;
@@ -130,8 +147,33 @@
         if request.header("expected-instance") != identity.id {
             return Some(response(421, &id, None, "not executed: another instance"));
         }
-        if response_mode == ResponseMode::Reject {
-            return Some(response(503, &id, None, "full"));
+        let text = self.respond_as(request, response_mode, &identity).await?;
+        if !self.history.is_leaving(&identity.id) {
+            return Some(text);
+        }
+        let (first_line, rest) = text.split_at(text.iter().position(|b| *b == b'\n')? + 1);
+        Some([first_line, b"Server-Leaving: 1\r\n", rest].concat())
+    }
+
+    async fn respond_as(
+        &self,
+        request: &HttpMessage,
+        response_mode: ResponseMode,
+        identity: &Identity,
+    ) -> Option<Vec<u8>> {
+        let id = request.header("request-id").to_owned();
+        self.history.record_arrival(&identity.id, &id);
+        match response_mode {
+            ResponseMode::Reject | ResponseMode::RepeatRejection => {
+                return Some(response(503, &id, None, "full"));
+            }
+            ResponseMode::Pause => {
+                self.history.record_pause(&identity.id, &id);
+                let text = String::from_utf8(response(503, &id, None, "full")).ok()?;
+                let pause = format!("\r\nRetry-After: {}\r\n", PAUSE.as_secs_f64());
+                return Some(text.replacen("\r\n", &pause, 1).into_bytes());
+            }
+            _ => {}
         }
         self.history
             .executions
@@ -160,9 +202,7 @@
                 let complete = response(200, &id, Some(&id), &body);
                 Some(complete[..complete.len() - 3].to_vec())
             }
-            ResponseMode::Normal | ResponseMode::Reject => {
-                Some(response(200, &id, Some(&id), &body))
-            }
+            _ => Some(response(200, &id, Some(&id), &body)),
         }
     }
 }
--- a/crates/corianderworks/tests/soak/callers.rs
+++ b/crates/corianderworks/tests/soak/callers.rs
@@ -93,6 +93,7 @@
                 vm: Vm::number_of(address),
                 at: Instant::now(),
                 end: None,
+                leaving_seen_at: None,
             };
             self.history.sent.lock().insert(id.clone(), sent);
             let method = if non_idempotent { "POST" } else { "GET" };
@@ -120,6 +121,10 @@
             };
             if let Some(sent) = self.history.sent.lock().get_mut(&id) {
                 sent.end = Some((end, Instant::now()));
+                let passed_on = response.as_ref().ok().and_then(Option::as_ref);
+                let says_leaving =
+                    passed_on.is_some_and(|r| !r.header("server-leaving").is_empty());
+                sent.leaving_seen_at = says_leaving.then(Instant::now);
             }
             if connection_closed {
                 return;
--- a/crates/corianderworks/tests/soak/history.rs
+++ b/crates/corianderworks/tests/soak/history.rs
@@ -6,6 +6,8 @@
 
 use parking_lot::Mutex;
 
+use crate::backend::PAUSE;
+
 /// Time limit, counted from the start of a drain, after which no new request may reach the
 /// server.
 const DRAIN_MAX: Duration = Duration::from_millis(2_000);
@@ -15,6 +17,11 @@
 /// Time after a fault of the store or a daemon for which `DRAIN_MAX` is not checked.
 const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
+/// Time after the request for a pause from which on requests are counted, and how many of one VM may
+/// reach the server until the end of the pause.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+const PAUSE_ARRIVALS_MAX: usize = 2;
+
 /// How a request ended for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -35,6 +42,8 @@
     pub vm: usize,
     pub at: Instant,
     pub end: Option<(End, Instant)>,
+    /// When the caller got a response whose server said that it is leaving.
+    pub leaving_seen_at: Option<Instant>,
 }
 
 #[derive(Debug, Clone)]
@@ -53,6 +62,12 @@
     pub executions: Mutex<HashMap<String, Vec<Execution>>>,
     /// Time at which each server started to drain, by server id.
     pub drain_starts: Mutex<HashMap<String, Instant>>,
+    /// Time at which each server began to say in its responses that it is leaving, by server id.
+    pub leaving_starts: Mutex<HashMap<String, Instant>>,
+    /// Requests that reached a server: server id, request id and time.
+    pub arrivals: Mutex<Vec<(String, String, Instant)>>,
+    /// Requests that a server answered by asking for a pause.
+    pub pauses: Mutex<Vec<(String, String, Instant)>>,
     /// Services to which any configuration of the run routes a path prefix.
     pub allowed_services: Mutex<HashMap<String, HashSet<String>>>,
     /// VM and time of daemon faults, which may explain a lost response.
@@ -73,8 +88,82 @@
         drain_starts.insert(id.to_owned(), Instant::now()).is_none()
     }
 
+    /// Records that a server says from now on that it is leaving; returns false if it already does.
+    pub fn begin_leaving(&self, id: &str) -> bool {
+        let mut leaving_starts = self.leaving_starts.lock();
+        let now = Instant::now();
+        leaving_starts.insert(id.to_owned(), now).is_none()
+    }
+
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.leaving_starts.lock().contains_key(id)
+    }
+
+    pub fn record_arrival(&self, server: &str, request: &str) {
+        let arrival = (server.to_owned(), request.to_owned(), Instant::now());
+        self.arrivals.lock().push(arrival);
+    }
+
+    pub fn record_pause(&self, server: &str, request: &str) {
+        let pause = (server.to_owned(), request.to_owned(), Instant::now());
+        self.pauses.lock().push(pause);
+    }
+
+    /// Returns the requests of a VM that reached a server, with the times of their arrival.
+    fn arrivals_of(&self, server: &str, vm: usize) -> Vec<(SentRequest, Instant)> {
+        let sent = self.sent.lock();
+        let arrivals = self.arrivals.lock();
+        let of_server = arrivals.iter().filter(|(s, _, _)| s == server);
+        of_server
+            .filter_map(|(_, id, at)| sent.get(id).map(|r| (r.clone(), *at)))
+            .filter(|(request, _)| request.vm == vm)
+            .collect()
+    }
+
+    fn has_daemon_fault(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let daemon_faults = self.daemon_faults.lock();
+        let mut faults = daemon_faults.iter();
+        faults.any(|(faulty, at)| *faulty == vm && *at + SETTLE_TIME >= from && *at <= to)
+    }
+
+    /// Checks that a VM to which a server said that it is leaving, or that it wants a pause, sends
+    /// no more requests to it.
+    fn check_announcements(&self) {
+        let leaving_starts = self.leaving_starts.lock().clone();
+        let vms: HashSet<usize> = self.sent.lock().values().map(|r| r.vm).collect();
+        for server in leaving_starts.keys() {
+            for vm in &vms {
+                let arrivals = self.arrivals_of(server, *vm);
+                let told_at = arrivals.iter().filter_map(|(r, _)| r.leaving_seen_at).min();
+                let Some(told_at) = told_at else {
+                    continue;
+                };
+                let bound = told_at + DRAIN_MAX + DRAIN_SLACK;
+                for (_, at) in arrivals.iter().filter(|(r, _)| r.at > bound) {
+                    if !self.has_daemon_fault(*vm, told_at, *at) {
+                        let text = format!("DRAIN {server}: request of vm {vm} after it left");
+                        self.record_violation(text);
+                    }
+                }
+            }
+        }
+        for (server, request, at) in self.pauses.lock().clone() {
+            let Some(vm) = self.sent.lock().get(&request).map(|r| r.vm) else {
+                continue;
+            };
+            let pause = at + PAUSE_SLACK..at + PAUSE;
+            let arrivals = self.arrivals_of(&server, vm);
+            let count = arrivals.iter().filter(|a| pause.contains(&a.1)).count();
+            if count > PAUSE_ARRIVALS_MAX && !self.has_daemon_fault(vm, at, pause.end) {
+                let text = format!("BUDGET {server}: {count} requests of vm {vm} in a pause");
+                self.record_violation(text);
+            }
+        }
+    }
+
     /// Compares the requests that callers sent with their executions and records each violation.
     pub fn check_all(&self) {
+        self.check_announcements();
         let sent = self.sent.lock().clone();
         let executions = self.executions.lock().clone();
         for (id, request_executions) in &executions {
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -272,6 +272,53 @@
         }
     }
 
+    /// Lets servers say something of themselves, or another program write an odd entry.
+    async fn inject_announcement(&self, random: &mut Pcg64) {
+        let time = Duration::from_millis(random.random_range(500..3_000));
+        let backend = &self.backends[random.random_range(0..self.backends.len())];
+        match random.random_range(0..4) {
+            0 => self.leave_without_entry(backend, random).await,
+            1 => self.respond_for(backend, ResponseMode::Pause, time).await,
+            2 => {
+                let mode = ResponseMode::RepeatRejection;
+                self.respond_for(backend, mode, time).await;
+            }
+            _ => self.write_odd_entry(time).await,
+        }
+    }
+
+    async fn respond_for(&self, backend: &Backend, mode: ResponseMode, time: Duration) {
+        self.log_event(format!(
+            "server {}: {mode:?} for {time:?}",
+            backend.address()
+        ));
+        *backend.response_mode.lock() = (mode, 0.5);
+        sleep(time).await;
+        *backend.response_mode.lock() = (ResponseMode::Normal, 0.0);
+    }
+
+    /// A server says in its responses that it is leaving, while its entry says that it is ready.
+    async fn leave_without_entry(&self, backend: &Backend, random: &mut Pcg64) {
+        let old = backend.identity.lock().clone();
+        if !self.history.begin_leaving(&old.id) {
+            return;
+        }
+        self.log_event(format!("{} is leaving, by its responses only", old.id));
+        sleep(Duration::from_millis(4_000)).await;
+        if backend.identity.lock().id != old.id || !self.history.begin_drain(&old.id) {
+            return;
+        }
+        self.replace_identity(backend, &old, random).await;
+    }
+
+    async fn write_odd_entry(&self, time: Duration) {
+        self.log_event("odd entry in the store".to_owned());
+        let nested = (0..300).fold(Value::Null, |inner, _| Value::Array(vec![inner]));
+        self.store.put("servers", "odd", nested, Value::Null);
+        sleep(time).await;
+        self.store.remove("servers", "odd");
+    }
+
     /// Drains a server, then reuses its address for a new server of a random service.
     async fn replace_server(&self, backend: &Backend, random: &mut Pcg64) {
         let old = backend.identity.lock().clone();
@@ -281,6 +328,16 @@
         backend.register(&self.store, "draining");
         self.log_event(format!("drain {}", old.id));
         sleep(Duration::from_millis(2_500)).await;
+        self.replace_identity(backend, &old, random).await;
+    }
+
+    /// Removes the entry of a server, and starts a new one of a random service at its address.
+    async fn replace_identity(
+        &self,
+        backend: &Backend,
+        old: &backend::Identity,
+        random: &mut Pcg64,
+    ) {
         self.store.remove("servers", &old.id);
         sleep(Duration::from_millis(500)).await;
         let service = SERVICES.choose(random).expect("services");
@@ -334,6 +391,15 @@
             }
         });
     }
+    let mut random = Pcg64::seed_from_u64(seed * 79);
+    let announcing = harness.clone();
+    fault_tasks.spawn(async move {
+        while Instant::now() < ends {
+            announcing.inject_announcement(&mut random).await;
+            let pause_ms = random.random_range(50..500);
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    });
     while let Some(exited) = fault_tasks.join_next().await {
         exited.expect("a fault task");
     }
