--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -348,11 +348,11 @@
         let candidates = self.other_candidates(now);
         let relay_position = self.relay_position(now);
         let relays = RELAYS_PER_DOMAIN - usize::from(relay_position.is_some());
-        let is_first =
-            |m: &&&Member| relay_position == Some(1) && Some(**m) == candidates.first().copied();
+        let is_second_relay = relay_position == Some(1);
+        let first_candidate = candidates.first().map(|m| m.peer);
         Topology {
             relay_position,
-            first_relay: candidates.iter().find(is_first).map(|m| m.peer),
+            first_relay: first_candidate.filter(|_| is_second_relay),
             relays: candidates.iter().take(relays).map(|m| m.peer).collect(),
             candidates: candidates.iter().map(|m| m.peer).collect(),
             domain_peers: self.domain_peers(now).map(address).collect(),
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reason;
 pub mod registration;
 pub mod reply;
+pub mod reports;
 mod run;
 pub mod state;
 pub mod store_sync;
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -6,21 +6,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use corianderworks_decision::edge::fleet::{
-    DaemonStatus, Fleet, HEARTBEAT_INTERVAL, Member, RunKey, Topology,
-};
-use corianderworks_decision::edge::load_balancer::Evidence;
-use corianderworks_decision::edge::peer_load::{
-    Report, ServerTag, StoreView, batch_delay, relay_delay, report_delay,
-};
-use corianderworks_decision::edge::servers::{Announcement, ServerEntry};
+use corianderworks_decision::edge::fleet::{Fleet, HEARTBEAT_INTERVAL, Member, RunKey, Topology};
+use corianderworks_decision::edge::peer_load::{Report, batch_delay, relay_delay, report_delay};
 use corianderworks_platform::configuration;
 use corianderworks_wire::codec;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use crate::peers::{DATAGRAM_MAX_BYTES, Incoming, Message, Peers, StoreUpdate, store_messages};
-use crate::state::{Edge, EdgeState, Lifecycle, PendingReport};
+use crate::reports::ReportResult;
+use crate::state::Edge;
 
 /// Largest number of reports in one datagram.
 const REPORTS_PER_DATAGRAM: usize = 32;
@@ -508,19 +503,6 @@
     }
 }
 
-/// What became of a report.
-pub enum ReportResult {
-    /// The report was applied; its origin is in this domain.
-    Applied {
-        /// Domain of the origin.
-        domain: Arc<str>,
-    },
-    /// A later report of the origin was applied before, or the origin is this daemon.
-    Outdated,
-    /// The origin is not known.
-    UnknownOrigin,
-}
-
 /// Encodes reports into datagrams and halves batches that are too long for one. A single report
 /// that is too long is dropped.
 fn datagrams(reports: &[Report]) -> Vec<Bytes> {
@@ -541,164 +523,3 @@
     }
     encoded
 }
-
-impl Edge {
-    /// Builds a report of the changes since the last one, or of the complete load, and clears
-    /// the changes.
-    pub fn take_report(&self, sequence: u32, complete: bool) -> Report {
-        let status = match self.lifecycle() {
-            Lifecycle::Stopping(_) => DaemonStatus::Leaving,
-            Lifecycle::Serving if self.is_ready() => DaemonStatus::Ready,
-            Lifecycle::Serving => DaemonStatus::NotReady,
-        };
-        let mut state = self.lock_state();
-        state.fleet.set_own_status(status);
-        let PendingReport {
-            evidence,
-            changed,
-            leaving,
-            store,
-        } = std::mem::take(&mut state.pending_report);
-        let tags: Vec<ServerTag> = match complete {
-            true => state.servers.entries().map(|e| e.tag()).collect(),
-            false => changed,
-        };
-        let leaving = match complete {
-            true => state.servers.leaving().map(ServerEntry::tag).collect(),
-            false => leaving,
-        };
-        let counts = state.budget.take_counts(complete, self.clock.now());
-        let load = |tag: ServerTag| {
-            let key = state.servers.key_of_tag(tag);
-            let load = key.map_or(0, |key| state.load_balancer.own_in_flight(key));
-            (tag, u16::try_from(load).unwrap_or(u16::MAX))
-        };
-        let mut in_flight: Vec<_> = tags.into_iter().map(load).collect();
-        if complete {
-            in_flight.retain(|(_, load)| *load > 0);
-        }
-        Report {
-            origin: state.fleet.own().key(),
-            sequence,
-            status,
-            complete,
-            in_flight,
-            evidence,
-            leaving,
-            counts,
-            store,
-        }
-    }
-
-    /// Applies a report of another daemon.
-    pub fn apply_report(&self, report: &Report, now: Duration) -> ReportResult {
-        let mut state = self.lock_state();
-        let Some(domain) = state.fleet.member(report.origin).map(|m| m.domain.clone()) else {
-            return match state.fleet.own().key() == report.origin {
-                true => ReportResult::Outdated,
-                false => ReportResult::UnknownOrigin,
-            };
-        };
-        if !state.peer_load.accept_sequence(report) {
-            return ReportResult::Outdated;
-        }
-        state.fleet.record_report(report.origin, report.status, now);
-        for (tag, evidence) in &report.evidence {
-            state.observe_tag(*tag, *evidence, now);
-        }
-        state.record_leaving(&report.leaving);
-        let changed = state.peer_load.apply(report);
-        state.update_peer_in_flight(&changed, now);
-        for (tag, counts) in &report.counts {
-            state.budget.apply_counts(report.origin, *tag, *counts, now);
-        }
-        if let Some(view) = report.store {
-            state.record_store_view(view, now);
-        }
-        ReportResult::Applied { domain }
-    }
-
-    /// Applies changes sent by another daemon, and returns those that were new.
-    pub fn apply_store_update(&self, mut update: StoreUpdate) -> StoreUpdate {
-        update
-            .entries
-            .retain(|entry| self.apply_entry(entry.clone(), "peer"));
-        update
-            .removed
-            .retain(|removal| self.remove_entry(removal, "peer"));
-        let mut state = self.lock_state();
-        state.record_leaving(&update.leaving);
-        update.leaving.clear();
-        if let Some(view) = update.view.take() {
-            state.record_store_view(view, self.clock.now());
-        }
-        drop(state);
-        update
-    }
-
-    /// Returns all backend servers and the configuration, for a daemon that has neither.
-    pub fn full_store_update(&self) -> StoreUpdate {
-        let now = self.clock.now();
-        let state = self.lock_state();
-        let is_recent = |at: Duration| now.saturating_sub(at) < self.settings.apply_timeout / 4;
-        let reported = state.reported_store_view.filter(|(_, at)| is_recent(*at));
-        StoreUpdate {
-            entries: state.servers.entries().cloned().collect(),
-            removed: Vec::new(),
-            leaving: state.servers.leaving().map(ServerEntry::tag).collect(),
-            view: reported.map(|(view, _)| view),
-            configuration: state.configuration_bytes.clone(),
-        }
-    }
-}
-
-impl EdgeState {
-    fn update_peer_in_flight(&mut self, changed: &[ServerTag], now: Duration) {
-        for tag in changed {
-            if let Some(key) = self.servers.key_of_tag(*tag) {
-                let total = self.peer_load.total_in_flight(*tag);
-                self.load_balancer.set_peer_in_flight(key, total, now);
-            }
-        }
-    }
-
-    fn clear_load(&mut self, key: RunKey, now: Duration) {
-        let changed = self.peer_load.clear(key);
-        self.update_peer_in_flight(&changed, now);
-    }
-
-    fn observe_tag(&mut self, tag: ServerTag, evidence: Evidence, now: Duration) {
-        let Some(key) = self.servers.key_of_tag(tag) else {
-            return;
-        };
-        if let Some(server) = self.servers.get(key) {
-            self.load_balancer
-                .observe_reported((key, server), evidence, now);
-        }
-    }
-
-    /// Applies what other daemons heard from servers that are shutting down.
-    fn record_leaving(&mut self, tags: &[ServerTag]) {
-        for tag in tags {
-            let Some(key) = self.servers.key_of_tag(*tag) else {
-                continue;
-            };
-            if self.servers.announce(key, Announcement::Leaving)
-                && let Some(server) = self.servers.get(key)
-            {
-                let entry = &server.entry;
-                tracing::info!(
-                    server = &*entry.id,
-                    service = &*entry.service,
-                    source = "peer",
-                    "servers: leaving"
-                );
-            }
-        }
-    }
-
-    fn record_store_view(&mut self, view: StoreView, now: Duration) {
-        self.servers.set_store_reachable(true, now);
-        self.reported_store_view = Some((view, now));
-    }
-}
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -349,7 +349,8 @@
     })
     .await;
     assert_eventually(APPLY_TIMEOUT, "first state", || {
-        fleet.iter().all(|e| accepting_servers(e) == 2)
+        let has_state = |e: &Edge| configuration_version(e) == 3 && accepting_servers(e) == 2;
+        fleet.iter().all(|e| has_state(e))
     })
     .await;
     let failing_server = fleet[0]
