--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -255,9 +255,13 @@
         self.add_or_update(entry, now)
     }
 
+    fn find_mut(&mut self, id: &str) -> Option<(ServerKey, &mut Server)> {
+        let key = self.key_of_id(id)?;
+        Some((key, self.arena.get_mut(key)?))
+    }
+
     fn add_or_update(&mut self, entry: ServerEntry, now: Duration) -> Change {
-        let known = self.by_id.get(&entry.id).copied();
-        let Some((key, server)) = known.and_then(|k| Some((k, self.arena.get_mut(k)?))) else {
+        let Some((key, server)) = self.find_mut(&entry.id) else {
             return Change::Added(self.insert(entry, now));
         };
         if entry.started_unix_ms < server.entry.started_unix_ms
@@ -329,8 +333,7 @@
         grace: Duration,
         now: Duration,
     ) -> Change {
-        let known = self.by_id.get(id).copied();
-        let Some((key, server)) = known.and_then(|k| Some((k, self.arena.get_mut(k)?))) else {
+        let Some((key, server)) = self.find_mut(id) else {
             self.remember_removal(id.into(), revision, now);
             return Change::Unchanged;
         };
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -188,7 +188,7 @@
     /// Sends a report of the own domain on to the domain and to the relays of the others, if this
     /// daemon is a relay.
     fn relay_own_domain(&mut self, report: Report) {
-        if self.relays_report(&report) {
+        if self.is_relayed(report.must_arrive()) {
             self.relay_batch
                 .add(report.clone(), relay_delay(report.has_failures()));
             self.send_to_domain(report);
@@ -199,11 +199,7 @@
     /// missed longer, so the second relay leaves them to the first one.
     fn relay_other_domain(&mut self, report: Report) {
         let must_arrive = report.has_failures() || report.store.is_some();
-        let now = self.edge.clock.now();
-        if self
-            .topology
-            .relays_report(must_arrive, self.first_relay_heard_at, now)
-        {
+        if self.is_relayed(must_arrive) {
             self.send_to_domain(report);
         }
     }
@@ -216,10 +212,10 @@
         self.domain_batch.add(report, delay);
     }
 
-    fn relays_report(&self, report: &Report) -> bool {
+    fn is_relayed(&self, must_arrive: bool) -> bool {
         let now = self.edge.clock.now();
         self.topology
-            .relays_report(report.must_arrive(), self.first_relay_heard_at, now)
+            .relays_report(must_arrive, self.first_relay_heard_at, now)
     }
 
     fn handle_incoming(&mut self, received: Incoming) {
@@ -368,7 +364,7 @@
     }
 
     /// Applies changes of the store. A relay sends those on to its domain that it gets from another
-    /// domain and that are new to it, or that a daemon of its domain has just read.
+    /// domain and that are new to it.
     fn handle_store_update(&mut self, from: SocketAddr, update: StoreUpdate) {
         let new = self.edge.apply_store_update(update);
         self.send_store_update(from, new);
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -6,7 +6,7 @@
 use corianderworks_decision::edge::fleet::{DaemonStatus, RunKey};
 use corianderworks_decision::edge::load_balancer::Evidence;
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
-use corianderworks_decision::edge::servers::{Announcement, ServerEntry};
+use corianderworks_decision::edge::servers::ServerEntry;
 
 use crate::peers::StoreUpdate;
 use crate::state::{Edge, EdgeState, Lifecycle, PendingReport};
@@ -88,7 +88,7 @@
         for (tag, evidence) in &report.evidence {
             state.observe_tag(*tag, *evidence, now);
         }
-        state.record_leaving(&report.leaving);
+        state.apply_leaving(&report.leaving);
         let changed = state.peer_load.apply(report);
         state.update_peer_in_flight(&changed, now);
         for (tag, counts) in &report.counts {
@@ -109,7 +109,7 @@
             .removed
             .retain(|removal| self.remove_entry(removal, "peer"));
         let mut state = self.lock_state();
-        state.record_leaving(&update.leaving);
+        state.apply_leaving(&update.leaving);
         update.leaving.clear();
         if let Some(view) = update.view.take() {
             state.record_store_view(view, self.clock.now());
@@ -160,21 +160,10 @@
     }
 
     /// Applies what other daemons heard from servers that are shutting down.
-    fn record_leaving(&mut self, tags: &[ServerTag]) {
+    fn apply_leaving(&mut self, tags: &[ServerTag]) {
         for tag in tags {
-            let Some(key) = self.servers.key_of_tag(*tag) else {
-                continue;
-            };
-            if self.servers.announce(key, Announcement::Leaving)
-                && let Some(server) = self.servers.get(key)
-            {
-                let entry = &server.entry;
-                tracing::info!(
-                    server = &*entry.id,
-                    service = &*entry.service,
-                    source = "peer",
-                    "servers: leaving"
-                );
+            if let Some(key) = self.servers.key_of_tag(*tag) {
+                self.record_leaving(key, "peer");
             }
         }
     }
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -9,7 +9,7 @@
 };
 use corianderworks_decision::edge::load_balancer::{Candidates, Choice, Evidence};
 use corianderworks_decision::edge::routes::Idempotency;
-use corianderworks_decision::edge::servers::{Announcement, ServerKey};
+use corianderworks_decision::edge::servers::ServerKey;
 use corianderworks_platform::headers;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -325,15 +325,13 @@
     /// Records whether the server is shutting down or wants no requests for some time.
     fn record_announcements(&self, ended: &EndedAttempt) {
         if ended.exchange.leaving {
-            self.edge.announce(ended.key, Announcement::Leaving);
+            self.edge.record_leaving(ended.key);
         }
         let ExchangeResult::Response(response) = &ended.exchange.result else {
             return;
         };
         if let Some(pause) = requested_pause(response) {
-            let until = self.edge.clock.now() + pause;
-            self.edge
-                .announce(ended.key, Announcement::PausedUntil(until));
+            self.edge.record_pause(ended.key, pause);
         }
     }
 
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -68,6 +68,16 @@
         }
     }
 
+    /// Records and logs that a server said that it is shutting down. Returns whether it is new.
+    pub(crate) fn record_leaving(&mut self, key: ServerKey, source: &'static str) -> bool {
+        let is_new = self.servers.announce(key, Announcement::Leaving);
+        if let Some(server) = self.servers.get(key).filter(|_| is_new) {
+            let (server, service) = (&*server.entry.id, &*server.entry.service);
+            tracing::info!(server, service, source, "servers: leaving");
+        }
+        is_new
+    }
+
     /// Adds the load of a server to the next report.
     fn mark_load_changed(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get(key) {
@@ -378,36 +388,31 @@
         self.report_trigger.notify_one();
     }
 
-    /// Records what a backend server said of itself in a response to this daemon.
-    pub fn announce(&self, key: ServerKey, announcement: Announcement) {
+    /// Records that a backend server said in a response to this daemon that it is shutting down, and
+    /// tells the other daemons.
+    pub fn record_leaving(&self, key: ServerKey) {
         let mut state = self.lock_state();
-        if !state.servers.announce(key, announcement) {
+        if !state.record_leaving(key, "response") {
             return;
         }
-        let Some(entry) = state.servers.get(key).map(|s| s.entry.clone()) else {
-            return;
-        };
-        match announcement {
-            Announcement::Leaving => {
-                tracing::info!(
-                    server = &*entry.id,
-                    service = &*entry.service,
-                    source = "response",
-                    "servers: leaving"
-                );
-                state.pending_report.leaving.push(entry.tag());
-                drop(state);
-                self.report_trigger.notify_one();
-            }
-            Announcement::PausedUntil(until) => {
-                let pause_ms = until.saturating_sub(self.clock.now()).as_millis() as u64;
-                tracing::info!(
-                    server = &*entry.id,
-                    service = &*entry.service,
-                    pause_ms,
-                    "servers: paused"
-                );
-            }
+        if let Some(tag) = state.servers.get(key).map(|s| s.entry.tag()) {
+            state.pending_report.leaving.push(tag);
+        }
+        drop(state);
+        self.report_trigger.notify_one();
+    }
+
+    /// Records that a backend server wants no requests from this daemon for some time.
+    pub fn record_pause(&self, key: ServerKey, pause: Duration) {
+        let until = self.clock.now() + pause;
+        let mut state = self.lock_state();
+        let is_new = state
+            .servers
+            .announce(key, Announcement::PausedUntil(until));
+        if let Some(server) = state.servers.get(key).filter(|_| is_new) {
+            let (server, service) = (&*server.entry.id, &*server.entry.service);
+            let pause_ms = pause.as_millis() as u64;
+            tracing::info!(server, service, pause_ms, "servers: paused");
         }
     }
 
