--- a/review/stand-ins/harness.rs
+++ b/review/stand-ins/harness.rs
@@ -71,6 +71,17 @@
 /// Processes that the run has started.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
+/// Kills a process that the run has started.
+pub fn kill_child(process_id: u32) {
+    let mut children = CHILDREN.lock().unwrap();
+    let Some(at) = children.iter().position(|c| c.id() == process_id) else {
+        return;
+    };
+    let mut child = children.remove(at);
+    let _ = child.kill();
+    let _ = child.wait();
+}
+
 pub fn end_children() {
     let mut children = CHILDREN.lock().unwrap_or_else(|e| e.into_inner());
     for child in children.iter_mut() {
@@ -867,6 +878,7 @@
     pub zone: &'static str,
     pub grace_s: u32,
     pub daemons: usize,
+    pub memory_mb: u64,
 }
 
 pub struct Daemon {
@@ -896,6 +908,7 @@
             zone,
             grace_s,
             daemons,
+            memory_mb: 260,
         }
     }
 
@@ -941,6 +954,7 @@
             .map(|n| format!("\"{}:{CONTROL_PORT}\"", self.ip(n)))
             .collect();
         let (zone, grace_s, seeds) = (self.zone, self.grace_s, seeds.join(","));
+        let memory_mb = self.memory_mb;
         format!(
             "nodeName = \"front-{zone}-{number}\"\nrole = \"edge\"\nmachineClass = \"front\"\n\
              serves = [\"front\",\"directory\",\"control_plane\"]\nip = \"{ip}\"\n\
@@ -959,7 +973,7 @@
              [zones]\n{zone} = \"region\"\n\
              [listen]\nfront = \"{ip}:{FRONT_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
              control = \"{ip}:{CONTROL_PORT}\"\ndirectory = \"{ip}:{DIRECTORY_PORT}\"\n\
-             [limits]\ncpuShare = 0.2\ncores = 1\nmemoryMb = 260\nfileDescriptors = 4100\n\
+             [limits]\ncpuShare = 0.2\ncores = 1\nmemoryMb = {memory_mb}\nfileDescriptors = 4100\n\
              linkMbps = 1000.0\ndiskMb = 0\n\
              [faultTolerance]\nmachines = 2\nzones = 0\nregions = 0\n\
              [platform]\naddress = \"{store}\"\nform = \"objects\"\nwritesPerS = 400\n\
@@ -997,6 +1011,15 @@
         assert!(status.is_ok_and(|s| s.success()), "kill -{name} {id}");
     }
 
+    /// Returns the memory that the process occupies, in megabytes.
+    pub fn memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process_id);
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1024
+    }
+
     pub fn is_ready(&self) -> bool {
         let path = (self.ip, READY_PORT);
         let Ok(stream) = TcpStream::connect(path) else {
