--- a/review/stand-ins/drain_after_cut.rs
+++ b/review/stand-ins/drain_after_cut.rs
@@ -146,6 +146,7 @@
         .into_iter()
         .for_each(|t| t.join().expect("the caller ends"));
     let answers: HashMap<_, _> = calls.all().into_iter().map(|c| (c.id.clone(), c)).collect();
+    record.journal(&journal);
     let entries = journal.entries();
     let (mut late, mut lost) = (0, 0);
     for leave in &leaves {
--- a/review/stand-ins/harness.rs
+++ b/review/stand-ins/harness.rs
@@ -61,6 +61,17 @@
         writeln!(file, "{at:9.1} ms  {}", text.as_ref()).expect("record.txt can be written");
     }
 
+    /// Writes what the servers did with each request.
+    pub fn journal(&self, journal: &Journal) {
+        for entry in journal.entries() {
+            let at = ms(entry.at.saturating_duration_since(self.start));
+            self.line(format!(
+                "server {}: {} {:?} at {at:.1} ms",
+                entry.server, entry.id, entry.step
+            ));
+        }
+    }
+
     /// Writes a line to the record and to standard output.
     pub fn say(&self, text: impl AsRef<str>) {
         println!("{}", text.as_ref());
--- a/review/stand-ins/lost_busy_connection.rs
+++ b/review/stand-ins/lost_busy_connection.rs
@@ -16,7 +16,7 @@
 const WORK: Duration = Duration::from_millis(770);
 const SERVERS: usize = 9;
 /// Time between two requests of the caller.
-const INTERVAL: Duration = Duration::from_millis(40);
+const INTERVAL: Duration = Duration::from_millis(25);
 const BEFORE_STOP: Duration = Duration::from_secs(3);
 /// Time after the stop for which the caller goes on: three times the 2 s of an address response.
 const AFTER_STOP: Duration = Duration::from_millis(5_900);
@@ -105,6 +105,7 @@
     let _ = wire.stream.shutdown(std::net::Shutdown::Both);
     let reader = reader.join().expect("the reader ends");
     let stop_at = stop_at.expect("the stop was reached");
+    record.journal(&journal);
     let entries = journal.entries();
     let after_stop = |at: Instant| {
         let before = ms(stop_at.saturating_duration_since(at));
--- a/review/stand-ins/memory_of_bodies.rs
+++ b/review/stand-ins/memory_of_bodies.rs
@@ -191,6 +191,7 @@
     watchers
         .into_iter()
         .for_each(|w| w.join().expect("the watcher ends"));
+    record.journal(&journal);
     let mut lost = 0;
     for call in calls.all() {
         let was_read = journal.entries().iter().any(|e| e.id == call.id);
