Share the set-up of servers and waits in the tests of the edge daemon

Two test files built the same entry of a server, and a wait for a condition stood in fleet.rs only. `server_entry` and `assert_eventually` now stand in the support module. Assertions are unchanged.

--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -19,8 +19,8 @@
 use corianderworks_platform::daemons;
 use corianderworks_platform::store::StoreClient;
 use serde_json::{Value, json};
-use support::settings;
 use support::store::{ResponseMode, Store, configuration_spec, entry_spec, entry_status};
+use support::{assert_eventually, settings};
 
 /// The platform allows 2 s for drains and configurations to take effect.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -60,20 +60,6 @@
     edge
 }
 
-async fn assert_eventually<F>(within: Duration, what: &str, condition: F)
-where
-    F: Fn() -> bool,
-{
-    let deadline = tokio::time::Instant::now() + within;
-    while !condition() {
-        assert!(
-            tokio::time::Instant::now() < deadline,
-            "not within {within:?}: {what}"
-        );
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 fn configuration_version(edge: &Edge) -> u64 {
     edge.configuration().map_or(0, |c| c.version.0)
 }
--- a/crates/corianderworks_edge/tests/starting.rs
+++ b/crates/corianderworks_edge/tests/starting.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 
 use corianderworks_decision::clock::SystemClock;
-use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_edge::caller;
 use corianderworks_edge::metrics::Metrics;
 use corianderworks_edge::state::Edge;
-use support::{configuration, settings};
+use support::{configuration, server_entry, settings};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep};
 
@@ -38,18 +37,7 @@
     sleep(Duration::from_millis(100)).await;
     assert!(TcpStream::connect(address).await.is_err());
     edge.install_configuration(Arc::new(configuration(1)), None, "test");
-    let entry = ServerEntry {
-        id: "s1".into(),
-        revision: 1,
-        started_unix_ms: 1,
-        service: "ledger".into(),
-        address,
-        domain: "a".into(),
-        slots: 4,
-        draining: false,
-        cold: Duration::ZERO,
-    };
-    edge.apply_entry(entry, "test");
+    edge.apply_entry(server_entry("s1", address, 4), "test");
     let ready_since = Instant::now();
     while TcpStream::connect(address).await.is_err() {
         assert!(ready_since.elapsed() < OPEN_TIMEOUT, "port still closed");
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -371,15 +371,9 @@
     /// Adds a backend server as of a store revision, or updates its entry.
     pub fn apply_entry(&self, id: &str, backend: &Backend, domain: &str, revision: u64) {
         let entry = ServerEntry {
-            id: id.into(),
             revision,
-            started_unix_ms: 1,
-            service: "ledger".into(),
-            address: backend.address,
             domain: domain.into(),
-            slots: 4,
-            draining: false,
-            cold: Duration::ZERO,
+            ..server_entry(id, backend.address, 4)
         };
         self.edge.apply_entry(entry, "test");
     }
@@ -450,6 +444,36 @@
     )
 }
 
+/// Returns the entry of a server of the service ledger in domain a.
+pub fn server_entry(id: &str, address: SocketAddr, slots: u32) -> ServerEntry {
+    ServerEntry {
+        id: id.into(),
+        revision: 1,
+        started_unix_ms: 1,
+        service: "ledger".into(),
+        address,
+        domain: "a".into(),
+        slots,
+        draining: false,
+        cold: Duration::ZERO,
+    }
+}
+
+/// Waits until a condition holds, and fails if it does not within the time.
+pub async fn assert_eventually<F>(within: Duration, what: &str, condition: F)
+where
+    F: Fn() -> bool,
+{
+    let deadline = tokio::time::Instant::now() + within;
+    while !condition() {
+        assert!(
+            tokio::time::Instant::now() < deadline,
+            "not within {within:?}: {what}"
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Encodes a POST request with a deadline of 3 s.
 pub fn post(path: &str, id: &str, body: &str) -> String {
     let length = body.len();
