Deliver finished responses at the end of a planned stop

Cause: responses are written in order. At 0.9 of the grace period the daemon slept 100 ms and exited; nothing ended the slow request, so what waited behind it was never written. A request that waited for a retry at that moment ended in the same way, although no server had run it.

Change: the exit ends each request in flight, with 502 (`stopped`) if a server may be running it, with 503 and `Retry-After` (`stopping`) if none was. Connections then write their responses, and the process exits when none is left, at the latest after another 0.05 of the grace period.

`stopping.rs`, run on the code before: finished_responses_behind_an_unfinished_one_are_delivered, a_request_that_only_refusing_servers_got_is_refused_at_the_exit and a_request_with_an_open_attempt_at_the_exit_is_not_said_to_be_refused fail.

With an open attempt 502 is right, since the server may run the request.

--- a/crates/corianderworks/src/trace.rs
+++ b/crates/corianderworks/src/trace.rs
@@ -234,6 +234,7 @@
         "servers-full" => "the backend servers refused it because they were full",
         "unreachable" => "no connection to a backend server could be established",
         "stopping" => "the daemon was stopping",
+        "stopped" => "the daemon had to exit while a server was processing it",
         "no-response" => "it was sent, but its response is missing or malformed",
         "timed-out" => "the deadline or the route's timeout expired while a server processed it",
         "caller-left" => "the caller closed its connection",
--- a/crates/corianderworks_decision/src/edge/shutdown.rs
+++ b/crates/corianderworks_decision/src/edge/shutdown.rs
@@ -11,6 +11,8 @@
 /// Share of the grace period after which the daemon exits even with requests in flight. The
 /// rest is a margin for slow VMs.
 const EXIT_SHARE: f64 = 0.9;
+/// Share of the grace period within which a daemon that exits writes its last responses.
+const LAST_RESPONSES_SHARE: f64 = 0.05;
 
 /// Phase of a stopping daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,7 +21,7 @@
     Accepting,
     /// Finishes the requests in flight without accepting new ones.
     Finishing,
-    /// Exits without waiting any longer.
+    /// Ends the requests that are still in flight with a response, and exits when it is written.
     Exit,
 }
 
@@ -34,3 +36,9 @@
     }
     Phase::Finishing
 }
+
+/// Returns the longest time for which an exiting daemon writes the responses to the requests that
+/// it has ended. A caller that doesn't read must not delay the exit beyond the grace period.
+pub fn last_responses_timeout(grace: Duration) -> Duration {
+    grace.mul_f64(LAST_RESPONSES_SHARE)
+}
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use corianderworks_decision::clock::SystemClock;
-use corianderworks_decision::edge::shutdown::{Phase, phase};
+use corianderworks_decision::edge::shutdown::{Phase, last_responses_timeout, phase};
 use corianderworks_platform::settings::{self, Settings, SettingsError};
 use corianderworks_platform::store::StoreClient;
 use tokio::net::{TcpListener, TcpSocket};
@@ -184,6 +184,15 @@
         }
         sleep(STOP_CHECK_INTERVAL).await;
     }
-    // Leaves time to write responses that are already complete.
+    // The requests in flight have been ended; a connection writes their responses in order.
+    let write_deadline = Instant::now() + last_responses_timeout(edge.settings.grace_period);
+    while edge.in_flight() > 0 && Instant::now() < write_deadline {
+        sleep(STOP_CHECK_INTERVAL).await;
+    }
+    let unanswered = edge.in_flight();
+    if unanswered > 0 {
+        tracing::warn!(unanswered, "daemon: exits with requests in flight");
+    }
+    // Leaves time to transmit the last responses.
     sleep(STOP_CHECK_INTERVAL * 5).await;
 }
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -28,6 +28,8 @@
     Unreachable,
     /// The daemon is stopping and forwards no further requests.
     Stopping,
+    /// The daemon exited while a backend server was running the request.
+    Stopped,
     /// The request bodies held by the daemon exceed their memory limit.
     BodyMemory,
     /// The request was sent to a backend server, but the response is missing or unusable.
@@ -61,6 +63,7 @@
             Self::ServersFull => "servers-full",
             Self::Unreachable => "unreachable",
             Self::Stopping => "stopping",
+            Self::Stopped => "stopped",
             Self::BodyMemory => "body-memory",
             Self::NoResponse => "no-response",
             Self::TimedOut => "timed-out",
@@ -76,9 +79,11 @@
     /// guarantee that the request was not run; after 502 and 504 it may have been.
     pub fn status(self) -> (u16, &'static str) {
         match self {
-            Self::Served | Self::ServerFailed | Self::NoResponse | Self::CallerLeft => {
-                (502, "Bad Gateway")
-            }
+            Self::Served
+            | Self::ServerFailed
+            | Self::Stopped
+            | Self::NoResponse
+            | Self::CallerLeft => (502, "Bad Gateway"),
             Self::NoRoute => (404, "Not Found"),
             Self::NoConfiguration
             | Self::MalformedRoute
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -10,6 +10,7 @@
 use corianderworks_decision::edge::load_balancer::{Candidates, Choice, Evidence};
 use corianderworks_decision::edge::routes::Idempotency;
 use corianderworks_decision::edge::servers::ServerKey;
+use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::headers;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -17,7 +18,7 @@
 use crate::forward::{CallerRequest, Outcome, RETRY_AFTER_BASE, Routing, jitter};
 use crate::reason::Reason;
 use crate::reply::Reply;
-use crate::state::Edge;
+use crate::state::{Edge, Lifecycle};
 use crate::upstream::{
     ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseError, Target,
     UpstreamResponse,
@@ -117,6 +118,7 @@
         if let Some((choice, target)) = first {
             self.start(choice, target);
         }
+        let mut life = self.edge.subscribe_lifecycle();
         loop {
             let overdue_at = self.overdue_at();
             tokio::select! {
@@ -131,6 +133,9 @@
                     }
                 },
                 () = sleep_until(self.routing.deadline) => return self.timed_out(),
+                _ = life.wait_for(|l| *l == Lifecycle::Stopping(Phase::Exit)) => {
+                    return self.end_at_exit();
+                }
                 () = sleep_until(self.retry_refused_at.unwrap_or(self.routing.deadline)),
                     if self.retry_refused_at.is_some() =>
                     if let Step::End(outcome) = self.retry_refused() {
@@ -403,6 +408,18 @@
         self.fail(Reason::TimedOut)
     }
 
+    /// Ends the request because the daemon exits. The responses to later requests of the connection
+    /// may be complete, and are written after this one.
+    fn end_at_exit(&mut self) -> Outcome {
+        if !self.open_attempts.is_empty() {
+            return self.fail(Reason::Stopped);
+        }
+        match self.may_have_run {
+            true => self.give_up(AttemptEnd::Unknown),
+            false => self.refuse(Reason::Stopping, retry_after(RETRY_AFTER_BASE, jitter())),
+        }
+    }
+
     fn deliver(&mut self, reason: Reason) -> Outcome {
         let non_idempotent = self.routing.route.idempotency == Idempotency::NonIdempotent;
         match self.last_response.take() {
--- a/crates/corianderworks_edge/tests/stopping.rs
+++ b/crates/corianderworks_edge/tests/stopping.rs
@@ -9,8 +9,9 @@
 
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_edge::state::Lifecycle;
-use support::{Action, Backend, Daemon, get, header, post};
+use support::{Action, Backend, Daemon, RESPONSE_TIMEOUT, assert_eventually, get, header, post};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 #[tokio::test]
 async fn request_in_flight_is_answered_before_its_connection_closes() {
@@ -103,6 +104,87 @@
     assert_eq!(daemon.edge.in_flight(), 0);
 }
 
+/// A request that is still running at the end of the grace period must not take the finished
+/// responses behind it on its connection down with it.
+#[tokio::test]
+async fn finished_responses_behind_an_unfinished_one_are_delivered() {
+    let backend = Backend::start([Action::Hang, support::OK, support::OK]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut caller = daemon.connect().await;
+    let received = || backend.received_requests().len();
+    caller.send(&get("/read/1", "a")).await;
+    assert_eventually(RESPONSE_TIMEOUT, "the first request", || received() == 1).await;
+    caller
+        .send(&[get("/read/2", "b"), get("/read/3", "c")].concat())
+        .await;
+    let are_answered = || received() == 3 && open_attempts(&daemon) == 1;
+    assert_eventually(RESPONSE_TIMEOUT, "two responses", are_answered).await;
+    daemon
+        .edge
+        .set_lifecycle(Lifecycle::Stopping(Phase::Finishing));
+    daemon.edge.set_lifecycle(Lifecycle::Stopping(Phase::Exit));
+    let mut responses = Vec::new();
+    for _ in 0..3 {
+        // Shorter than the timeout of the route, which would also end the first request.
+        let response = timeout(Duration::from_millis(500), caller.response()).await;
+        let response = response.expect("a response before the exit");
+        let response = response.expect("a response on an open connection");
+        responses.push((response.status, header(&response.head, "request-id")));
+    }
+    let expected = [(502, "a"), (200, "b"), (200, "c")];
+    assert_eq!(
+        responses,
+        expected.map(|(status, id)| (status, Some(id.to_owned())))
+    );
+    assert_eq!(caller.response().await, None);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(daemon.edge.in_flight(), 0);
+}
+
+/// A request that no server has run when the process exits is refused as not run, so that its
+/// caller may send it again.
+#[tokio::test]
+async fn a_request_that_only_refusing_servers_got_is_refused_at_the_exit() {
+    let backend = Backend::start(std::iter::repeat_n(Action::Refuse, 100)).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut caller = daemon.connect().await;
+    caller.send(&post("/write/1", "a", "fee")).await;
+    let received = || backend.received_requests().len();
+    let is_refused = || received() > 0 && open_attempts(&daemon) == 0;
+    assert_eventually(RESPONSE_TIMEOUT, "a refused attempt", is_refused).await;
+    // The daemon runs on the thread of this test, so that it starts no attempt before the exit.
+    daemon.edge.set_lifecycle(Lifecycle::Stopping(Phase::Exit));
+    let received_before_exit = received();
+    let response = caller.response().await.expect("a response");
+    assert_eq!(response.status, 503);
+    assert!(response.body.contains("stopping"), "{}", response.body);
+    assert!(header(&response.head, "retry-after").is_some());
+    assert_eq!(received(), received_before_exit);
+}
+
+/// A server may be running a request whose attempt is open when the process exits, even if another
+/// one has refused the request.
+#[tokio::test]
+async fn a_request_with_an_open_attempt_at_the_exit_is_not_said_to_be_refused() {
+    let backend = Backend::start([Action::Refuse, Action::Hang]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut caller = daemon.connect().await;
+    caller.send(&post("/write/1", "a", "fee")).await;
+    let is_retried = || backend.received_requests().len() == 2;
+    assert_eventually(RESPONSE_TIMEOUT, "a second attempt", is_retried).await;
+    daemon.edge.set_lifecycle(Lifecycle::Stopping(Phase::Exit));
+    let response = caller.response().await.expect("a response");
+    assert_eq!(response.status, 502);
+    assert!(response.body.contains("stopped"), "{}", response.body);
+}
+
+/// Returns the number of attempts that are open at the only server of a daemon.
+fn open_attempts(daemon: &Daemon) -> u32 {
+    let state = daemon.edge.lock_state();
+    let key = state.servers.key_of_id("s0").expect("the server");
+    state.load_balancer.own_in_flight(key)
+}
+
 /// Connections that the kernel has accepted would be reset with the listener, after their callers
 /// have sent requests.
 #[tokio::test]
