Stop using a server that left while the watchers were cut off

Cause: a server whose entry lapses in an outage of the store is kept for 2 s after its return. Each failed call of a watcher was taken for an outage, and the watcher passed the 2 s on with the removal.

Change: an outage is a time without contact of any known daemon with the store, at least two heartbeat intervals of the servers and the bound for drains. A removal says only whether the entry may have lapsed; each daemon decides by its own contact how long it keeps the server.

--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -19,6 +19,9 @@
 
 use super::peer_load::ServerTag;
 
+/// Shortest time without any contact with the store that counts as an outage in which entries may
+/// have lapsed, if the caller sets no other one.
+const LAPSE_OUTAGE_MIN: Duration = Duration::from_millis(3_000);
 /// Time after the store recovers for which servers with a lapsed entry are kept. The platform
 /// guarantees that running servers are registered again about 2 s after the store recovers.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
@@ -164,8 +167,20 @@
     Lapsed(ServerKey),
 }
 
+/// Latest contact of the fleet with the store, as far as this daemon knows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StoreContact {
+    /// Neither this daemon nor another one has called the store since this daemon started.
+    #[default]
+    None,
+    /// The first calls failed, so the daemon may have started during an outage.
+    Failing,
+    /// The store last responded at this time, to this daemon or to another one.
+    LastAt(Duration),
+}
+
 /// All known backend servers, indexed by id, tag and service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Servers {
     arena: SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
@@ -176,9 +191,17 @@
     /// Store revision of the latest list. Unknown entries up to it belong to servers that had been
     /// removed by then.
     listed_revision: u64,
-    /// Time at which the store became reachable again after an outage.
+    /// Time without contact with the store after which entries may have lapsed in an outage.
+    lapse_outage_min: Duration,
+    store_contact: StoreContact,
+    /// Time at which the store became reachable again after such an outage.
     store_recovered_at: Option<Duration>,
-    store_reachable: bool,
+}
+
+impl Default for Servers {
+    fn default() -> Self {
+        Self::with_lapse_outage_min(LAPSE_OUTAGE_MIN)
+    }
 }
 
 impl Servers {
@@ -187,13 +210,47 @@
         Self::default()
     }
 
-    /// Sets whether the store is reachable. Becoming reachable again starts the grace period
-    /// for lapsed entries.
-    pub fn set_store_reachable(&mut self, reachable: bool, now: Duration) {
-        if reachable && !self.store_reachable && !self.by_id.is_empty() {
+    /// Creates an empty list. Entries may lapse if the store is away for `lapse_outage_min`: a
+    /// shorter outage ends before the entries of running servers expire.
+    pub fn with_lapse_outage_min(lapse_outage_min: Duration) -> Self {
+        Self {
+            arena: SlotMap::default(),
+            by_id: HashMap::new(),
+            by_tag: HashMap::new(),
+            by_service: HashMap::new(),
+            removed: HashMap::new(),
+            listed_revision: 0,
+            lapse_outage_min,
+            store_contact: StoreContact::None,
+            store_recovered_at: None,
+        }
+    }
+
+    /// Records that the store has responded, to this daemon or to another one that reports it. The
+    /// first response after an outage starts the grace period for lapsed entries.
+    pub fn store_responded(&mut self, now: Duration) {
+        if self.is_in_outage(now) && !self.by_id.is_empty() {
             self.store_recovered_at = Some(now);
         }
-        self.store_reachable = reachable;
+        self.store_contact = StoreContact::LastAt(now);
+    }
+
+    /// Records that a call of this daemon to the store has failed. That alone is no outage: the
+    /// daemon may be cut off from a store that serves the others.
+    pub fn store_call_failed(&mut self) {
+        if self.store_contact == StoreContact::None {
+            self.store_contact = StoreContact::Failing;
+        }
+    }
+
+    /// Whether the store has not responded to any daemon for so long that entries of running servers
+    /// may have lapsed.
+    fn is_in_outage(&self, now: Duration) -> bool {
+        match self.store_contact {
+            StoreContact::None => false,
+            StoreContact::Failing => true,
+            StoreContact::LastAt(at) => now.saturating_sub(at) >= self.lapse_outage_min,
+        }
     }
 
     /// Returns a server, or `None` if it was removed.
@@ -320,6 +377,9 @@
     /// Returns the time for which the server of an entry that is missing now is kept, because
     /// the entry may have lapsed in a store outage. Zero without a recent outage.
     pub fn lapse_grace(&self, now: Duration) -> Duration {
+        if self.is_in_outage(now) {
+            return LAPSE_GRACE;
+        }
         let ends = self.store_recovered_at.map(|at| at + LAPSE_GRACE);
         ends.map_or(Duration::ZERO, |ends| ends.saturating_sub(now))
     }
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -169,7 +169,7 @@
     }
 
     fn record_store_view(&mut self, view: StoreView, now: Duration) {
-        self.servers.set_store_reachable(true, now);
+        self.servers.store_responded(now);
         self.reported_store_view = Some((view, now));
     }
 }
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -32,6 +32,11 @@
 /// Memory of a small edge VM, in bytes.
 const VM_MEMORY_BYTES: usize = 256 * 1024 * 1024;
 
+/// Number of heartbeats that an outage of the store has to suppress before entries can lapse. The
+/// platform removes an entry after three heartbeat intervals of silence, of which up to one may
+/// have passed when the outage begins.
+const LAPSE_HEARTBEATS_MISSED: u32 = 2;
+
 /// Mutable state of a daemon, protected by one lock.
 #[derive(Debug)]
 pub struct EdgeState {
@@ -153,7 +158,7 @@
         };
         let state = EdgeState {
             configuration: None,
-            servers: Servers::new(),
+            servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
             budget,
             fleet,
@@ -264,11 +269,15 @@
         let EntryRemoval {
             id,
             revision,
-            grace,
+            may_have_lapsed,
         } = removal;
         let now = self.clock.now();
         let mut state = self.lock_state();
-        let change = state.servers.remove_entry(id, *revision, *grace, now);
+        let grace = match may_have_lapsed {
+            true => state.servers.lapse_grace(now),
+            false => Duration::ZERO,
+        };
+        let change = state.servers.remove_entry(id, *revision, grace, now);
         if change != Change::Unchanged {
             tracing::info!(
                 server = id,
@@ -514,8 +523,10 @@
     pub id: String,
     /// Store revision of the removal, or of the last change before it.
     pub revision: u64,
-    /// Time for which the server is kept, because the entry may have lapsed in a store outage.
-    pub grace: Duration,
+    /// Whether the entry may have lapsed although its server is running, if there was a store
+    /// outage. Each daemon decides by its own contact with the store: the one that saw the removal
+    /// may just have been cut off. An entry that can't be decoded any more has not lapsed.
+    pub may_have_lapsed: bool,
 }
 
 /// Counts an attempt as in flight at its server until it is dropped.
@@ -559,6 +570,14 @@
     }
 }
 
+/// Returns the shortest time without contact with the store in which entries may lapse. A daemon
+/// that watches nothing hears of the store after at most [`Settings::apply_timeout`], because it
+/// calls it by then.
+fn lapse_outage_min(settings: &Settings) -> Duration {
+    let heartbeats = settings.server_heartbeat_interval * LAPSE_HEARTBEATS_MISSED;
+    heartbeats.max(settings.apply_timeout)
+}
+
 fn own_member(settings: &Settings, wall_time: SystemTime) -> Member {
     let since_epoch = wall_time
         .duration_since(SystemTime::UNIX_EPOCH)
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -276,7 +276,8 @@
             self.reachable = true;
             tracing::info!(kind = self.object_kind.as_str(), "store: reached");
         }
-        self.update_store_reachable();
+        let now = self.edge.clock.now();
+        self.edge.lock_state().servers.store_responded(now);
     }
 
     async fn handle_failure(&mut self, error: &StoreError) {
@@ -287,21 +288,11 @@
             self.reachable = false;
             tracing::warn!(kind = self.object_kind.as_str(), %error, "store: lost");
         }
-        self.update_store_reachable();
+        self.edge.lock_state().servers.store_call_failed();
         sleep(self.retry_delay).await;
         self.retry_delay = (self.retry_delay * 2).min(RETRY_DELAY_MAX);
     }
 
-    fn update_store_reachable(&self) {
-        if self.object_kind == ObjectKind::Servers {
-            let now = self.edge.clock.now();
-            self.edge
-                .lock_state()
-                .servers
-                .set_store_reachable(self.reachable, now);
-        }
-    }
-
     /// Applies a complete list and returns what it contains.
     fn apply_list(&mut self, objects: &[StoredObject], revision: u64) -> StoreUpdate {
         let mut update = StoreUpdate::default();
@@ -376,18 +367,10 @@
                 self.edge.apply_entry(entry, "watch");
             }
             None => {
-                let now = self.edge.clock.now();
-                // An entry that is removed soon after a store outage may have lapsed in it although
-                // its server is running, so the server is kept for a grace period. An undecodable
-                // entry removes its server at once.
-                let grace = match event.removed {
-                    true => self.edge.lock_state().servers.lapse_grace(now),
-                    false => Duration::ZERO,
-                };
                 let removal = EntryRemoval {
                     id: event.object.name.clone(),
                     revision: event.object.revision,
-                    grace,
+                    may_have_lapsed: event.removed,
                 };
                 self.edge.remove_entry(&removal, "watch");
                 update.removed.push(removal);
