Test that a response which ends at any byte is not delivered

It can't happen here: the test plays an end at every byte of four kinds of framing, on reused connections, and callers get 502. It passes on the code before as well, so nothing is changed in the daemon.

--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -195,6 +195,40 @@
     assert_eq!(last.connection, 2);
 }
 
+/// A server that stops within the head or the body of its response and closes the connection has sent
+/// no response, however complete the part looks. The caller must not get a 200 with a short body.
+#[tokio::test]
+async fn a_response_that_ends_at_any_byte_before_its_end_is_not_delivered() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n";
+    let framed = [
+        "Content-Length: 10\r\n\r\n0123456789",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n6\r\n456789\r\n0\r\nX: y\r\n\r\n",
+        "Content-Length: 0\r\n\r\n",
+    ];
+    // Without a length, a response is complete as soon as its head is.
+    let without_length = [HEAD, "\r\n"].concat();
+    let mut responses = framed.map(|rest| [HEAD, rest].concat()).to_vec();
+    responses.push(without_length);
+    for response in responses {
+        let ends = 0..response.len();
+        let actions = ends.clone().flat_map(|end| {
+            let part: &'static str = response[..end].to_owned().leak();
+            // The connection of the first response is used again for the part.
+            [support::OK, Action::RawThenClose(part)]
+        });
+        let backend = Backend::start(actions).await;
+        let daemon = Daemon::with_backends(&[&backend]).await;
+        for end in ends {
+            assert_eq!(
+                daemon.fetch(&post("/write/x", "w1", "fee")).await.status,
+                200
+            );
+            let response = daemon.fetch(&post("/write/x", "w2", "fee")).await;
+            assert_eq!(response.status, 502, "{end} bytes: {response:?}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn response_without_a_length_is_complete_when_its_connection_closes() {
     let text: &'static str = Box::leak(format!("{SIGNED_HEAD}\r\nwhole body").into_boxed_str());
