Close pipelined connections in a stop, and refuse late requests that may outlast it

Cause: a stopping daemon closed a connection with its last pending response, and a caller that pipelines always has another one pending. Reading ended only after 50 ms without a byte. And each request read was passed on, whether or not it could end before the exit.

Change: a stopping daemon reads the requests that have arrived together; the last of them closes the connection. After the port is closed, the first request read is the last one. From half of the grace period, at the latest 3 s after the signal, a request is passed on only if its deadline or its route's timeout ends before the exit; others get 503 with `Retry-After` (`stopping`).

--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -46,6 +46,8 @@
 const DEFAULT_FAULTS_S: u64 = 8;
 const VMS: usize = 9;
 const CALLERS: usize = 24;
+/// One of this many callers pipelines its requests.
+const PIPELINING_CALLER_INTERVAL: usize = 8;
 /// Number of tasks that inject faults concurrently.
 const FAULT_TASKS: usize = 3;
 /// Time for the daemons to form a fleet before the first fault.
@@ -370,6 +372,7 @@
     }
     for number in 0..CALLERS {
         let caller = Caller {
+            pipelines: number % PIPELINING_CALLER_INTERVAL == 0,
             history: harness.history.clone(),
             directory_addresses: directory_addresses.clone(),
             prefixes: PREFIXES.map(str::to_owned).to_vec(),
--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -20,7 +20,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::forward::{CallerRequest, forward_request};
-use crate::http1::{BodyDecoder, Decoded, Framing, MessageError, RequestHead, take_request_head};
+use crate::http1::{
+    BodyDecoder, Decoded, Framing, MessageError, RequestHead, contains_head_end, take_request_head,
+};
 use crate::reason::Reason;
 use crate::reply::{Reply, RestFraming, encode_chunk};
 use crate::state::{BodyMemoryGuard, Edge, Lifecycle, RequestGuard};
@@ -353,7 +355,7 @@
             }
         });
         self.tasks.push(AbortOnDrop(answer.abort_handle()));
-        let close = !keep_alive;
+        let close = !keep_alive || self.stop_ends_connection();
         // Applies backpressure: waits while the queue of pending responses is full.
         if self
             .pending
@@ -366,6 +368,17 @@
         close.then_some(ReadEnd::Finish)
     }
 
+    /// Whether the daemon is stopping and reads no request after the current one. Until it stops
+    /// accepting connections, it still takes requests that have arrived together with this one. The
+    /// caller sends later ones again, because they are behind a response that closes the connection.
+    fn stop_ends_connection(&self) -> bool {
+        match self.edge.lifecycle() {
+            Lifecycle::Serving => false,
+            Lifecycle::Stopping(Phase::Accepting) => !contains_head_end(&self.buffer),
+            Lifecycle::Stopping(Phase::Finishing | Phase::Exit) => true,
+        }
+    }
+
     async fn body(
         &mut self,
         head: &RequestHead,
@@ -456,7 +469,8 @@
         let Answer { reply, request } = answer.await.ok()?;
         let interim = matches!(reply, Reply::Continue);
         // Requests after a response with `connection: close` are not answered, so a stopping daemon
-        // closes the connection only after the last request that it has started to process.
+        // closes the connection only after the last request that it has started to process, or
+        // after the one that ended the reading.
         let stopping = edge.lifecycle() != Lifecycle::Serving && pending.is_empty();
         let close = (close || stopping) && !interim;
         if close {
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -167,14 +167,13 @@
 
 /// Shuts down gracefully: finishes the requests in flight, as far as the grace period allows.
 async fn stop(edge: &Edge) {
-    let started = Instant::now();
     tracing::info!(in_flight = edge.in_flight(), "daemon: stopping");
     edge.set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
     // Reports the new status, so that the other daemons stop returning this one's address.
     edge.report_trigger.notify_one();
     loop {
         let phase = phase(
-            started.elapsed(),
+            edge.since_stop_signal().unwrap_or_default(),
             edge.settings.grace_period,
             edge.in_flight(),
         );
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use corianderworks_decision::edge::admission::retry_after;
 use corianderworks_decision::edge::routes::{ConfigVersion, Route};
-use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::headers;
 use rand::Rng;
 use tokio::time::Instant;
@@ -15,7 +14,7 @@
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::run::RequestRun;
-use crate::state::{Edge, Lifecycle};
+use crate::state::Edge;
 
 /// Minimum `retry-after` time of requests that are refused for other reasons than admission
 /// control; jitter only adds to it.
@@ -185,9 +184,6 @@
 /// Determines the route, the service and the deadline of a request, and counts the request for the
 /// retry budget of the service.
 fn routing(edge: &Edge, request: &CallerRequest) -> Result<Routing, Reason> {
-    if edge.lifecycle() == Lifecycle::Stopping(Phase::Exit) {
-        return Err(Reason::Stopping);
-    }
     let configuration = edge.configuration().ok_or(Reason::NoConfiguration)?;
     let head = &request.head;
     let host = head.headers.text("host").ok_or(Reason::Malformed)?;
@@ -204,6 +200,10 @@
     let time_limit = deadline_ms.map_or(route.timeout, |ms| {
         Duration::from_millis(ms).min(route.timeout)
     });
+    let deadline = request.received_at + time_limit;
+    if !edge.admits_request(deadline.saturating_duration_since(Instant::now())) {
+        return Err(Reason::Stopping);
+    }
     edge.lock_state()
         .budget
         .record_request(service, edge.clock.now());
@@ -211,6 +211,6 @@
         route: route.clone(),
         service: service.clone(),
         version: configuration.version,
-        deadline: request.received_at + time_limit,
+        deadline,
     })
 }
--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -144,6 +144,12 @@
     pub keep_alive: bool,
 }
 
+/// Whether the buffer contains the end of a head, so that the next request can be parsed without
+/// reading more.
+pub fn contains_head_end(buffer: &[u8]) -> bool {
+    buffer.windows(4).any(|bytes| bytes == b"\r\n\r\n")
+}
+
 /// Parses the head of a request and removes it from `buffer`. Returns `None` if it isn't complete
 /// yet.
 pub fn take_request_head(
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an edge daemon.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use corianderworks_decision::edge::servers::{
     Announcement, Change, ServerEntry, ServerKey, Servers,
 };
-use corianderworks_decision::edge::shutdown::Phase;
+use corianderworks_decision::edge::shutdown::{Phase, admits};
 use corianderworks_platform::settings::Settings;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
@@ -142,6 +142,8 @@
     /// Notifies the task that sends reports of new changes.
     pub report_trigger: Notify,
     lifecycle: watch::Sender<Lifecycle>,
+    /// Time of the stop signal.
+    stop_requested_at: OnceLock<Duration>,
     state: Mutex<EdgeState>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
@@ -179,6 +181,7 @@
             server_log_limit: LineRateLimiter::default(),
             report_trigger: Notify::new(),
             lifecycle: watch::Sender::new(Lifecycle::Serving),
+            stop_requested_at: OnceLock::new(),
             state: Mutex::new(state),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -205,12 +208,32 @@
         self.lifecycle.subscribe()
     }
 
-    /// Changes the lifecycle state. Receivers are notified only if the value differs.
+    /// Changes the lifecycle state. Receivers are notified only if the value differs. The first
+    /// change to a phase of the stop counts as the time of the stop signal.
     pub fn set_lifecycle(&self, lifecycle: Lifecycle) {
+        if lifecycle != Lifecycle::Serving {
+            self.stop_requested_at.get_or_init(|| self.clock.now());
+        }
         self.lifecycle
             .send_if_modified(|current| std::mem::replace(current, lifecycle) != lifecycle);
     }
 
+    /// Returns the time since the stop signal, or `None` if the daemon isn't stopping.
+    pub fn since_stop_signal(&self) -> Option<Duration> {
+        let requested_at = self.stop_requested_at.get()?;
+        Some(self.clock.now().saturating_sub(*requested_at))
+    }
+
+    /// Whether a request that has just been read is forwarded. `time_limit` is the time after which
+    /// it ends at the latest.
+    pub fn admits_request(&self, time_limit: Duration) -> bool {
+        let Some(since_signal) = self.since_stop_signal() else {
+            return true;
+        };
+        self.lifecycle() != Lifecycle::Stopping(Phase::Exit)
+            && admits(since_signal, self.settings.grace_period, time_limit)
+    }
+
     /// Whether callers should be directed to this daemon: it isn't stopping and has a
     /// configuration and backend servers.
     pub fn is_ready(&self) -> bool {
--- a/crates/corianderworks_edge/tests/stopping.rs
+++ b/crates/corianderworks_edge/tests/stopping.rs
@@ -10,7 +10,9 @@
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_edge::state::Lifecycle;
 use support::{Action, Backend, Daemon, RESPONSE_TIMEOUT, assert_eventually, get, header, post};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::timeout;
 
 #[tokio::test]
@@ -104,6 +106,100 @@
     assert_eq!(daemon.edge.in_flight(), 0);
 }
 
+/// Requests that arrive together after the signal are all answered; only those behind them have to
+/// be sent again.
+#[tokio::test]
+async fn requests_that_arrive_together_during_the_stop_are_all_answered() {
+    let backend = Backend::start([]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut caller = daemon.connect().await;
+    daemon
+        .edge
+        .set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
+    let requests: String = (0..3).map(|n| get("/read/x", &format!("r{n}"))).collect();
+    caller.send(&requests).await;
+    let mut closes = Vec::new();
+    for _ in 0..3 {
+        let response = caller.response().await.expect("a response");
+        assert_eq!(response.status, 200);
+        closes.push(header(&response.head, "connection").is_some());
+    }
+    assert_eq!(closes, [false, false, true]);
+}
+
+/// A caller that always has a request in flight would otherwise keep its connection until the
+/// process exits, and lose the last requests.
+#[tokio::test]
+async fn a_connection_that_is_pipelined_without_a_break_is_closed() {
+    const INTERVAL: Duration = Duration::from_millis(5);
+    let slow = Action::Respond(200, "slow", Duration::from_millis(100));
+    let backend = Backend::start(std::iter::repeat_n(slow, 1_000)).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let caller = daemon.connect().await.stream;
+    let (reader, mut writer) = caller.into_split();
+    let sending = tokio::spawn(async move {
+        for number in 0.. {
+            let request = get("/read/x", &format!("r{number}"));
+            if writer.write_all(request.as_bytes()).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(INTERVAL).await;
+        }
+    });
+    let reading = tokio::spawn(read_until_close(reader));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    daemon
+        .edge
+        .set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
+    let text = timeout(Duration::from_millis(1_500), reading).await;
+    let text = text.expect("the connection is closed").expect("no panic");
+    sending.abort();
+    assert_eq!(text.matches("connection: close").count(), 1);
+    // Requests behind the last response are not passed on, so that the caller may send them again.
+    let answered = text.matches("HTTP/1.1 200").count();
+    assert_eq!(answered, text.matches("HTTP/1.1").count());
+    assert_eq!(answered, backend.received_requests().len());
+}
+
+async fn read_until_close(mut reader: OwnedReadHalf) -> String {
+    let mut bytes = Vec::new();
+    // A reset ends the connection as well.
+    let _ = reader.read_to_end(&mut bytes).await;
+    String::from_utf8(bytes).expect("text")
+}
+
+/// Late in the grace period a request is taken only if it ends before the process exits: one that
+/// is cut off then may not be sent again.
+#[tokio::test]
+async fn a_late_request_that_may_outlast_the_stop_is_refused() {
+    let backend = Backend::start([]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut callers = Vec::new();
+    for number in 0..2 {
+        let mut caller = daemon.connect().await;
+        let request = post("/write/x", &format!("w{number}"), "fee");
+        let (start, rest) = request.split_at(20);
+        caller.send(start).await;
+        callers.push((caller, rest.to_owned()));
+    }
+    daemon
+        .edge
+        .set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
+    let stopped = tokio::time::Instant::now();
+    daemon
+        .edge
+        .set_lifecycle(Lifecycle::Stopping(Phase::Finishing));
+    // The grace period is 2 s, and the route times out after 1 s.
+    for (at_ms, expected) in [(700, 200), (1_200, 503)] {
+        tokio::time::sleep_until(stopped + Duration::from_millis(at_ms)).await;
+        let (mut caller, rest) = callers.remove(0);
+        caller.send(&rest).await;
+        let response = caller.response().await.expect("a response");
+        assert_eq!(response.status, expected, "at {at_ms} ms");
+    }
+    assert_eq!(backend.received_requests().len(), 1);
+}
+
 /// A request that is still running at the end of the grace period must not take the finished
 /// responses behind it on its connection down with it.
 #[tokio::test]
