Reject response heads that merge with the start of an earlier one

A request could be refused as not run, or run a second time, although a server had run it: a faulty server sent the start of an earlier rejection, then the response. Both parse as one head with `Not-Executed` and the id of the request (REFUSED, TWICE).

Change: a status line within the reason phrase or a header value makes a head malformed; what may have run ends with 502.

Evidence: announcements.rs, a_refusal_that_merges_with_the_next_response_is_not_believed, six ways to merge, fails on the code before.

--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -46,10 +46,15 @@
     Truncate,
     /// Rejects a request; on later ones on the connection, repeats that response before it responds.
     RepeatRejection,
+    /// Sends the start of an earlier rejection, then executes the request and responds.
+    MergeRejection,
     /// Rejects requests and asks for a pause of [`PAUSE`].
     Pause,
 }
 
+/// Start of a rejection that merges with the response that follows it.
+const REJECTION_START: &[u8] = b"HTTP/1.1 503 X\r\nNot-Executed: ";
+
 /// Time for which a server that asks for a pause wants no requests from a daemon.
 pub const PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -117,8 +122,13 @@
         let mut rejection = Vec::new();
         while let Some(request) = HttpMessage::read(&mut stream, &mut buffer).await {
             let mut response_mode = self.choose_response_mode();
-            if !rejection.is_empty() && response_mode == ResponseMode::RepeatRejection {
-                if stream.write_all(&rejection).await.is_err() {
+            let stray: &[u8] = match response_mode {
+                ResponseMode::RepeatRejection => &rejection,
+                ResponseMode::MergeRejection => REJECTION_START,
+                _ => &[],
+            };
+            if !stray.is_empty() {
+                if stream.write_all(stray).await.is_err() {
                     return;
                 }
                 response_mode = ResponseMode::Normal;
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -39,7 +39,11 @@
 ///
 /// 102, 124: SIGTERM killed a process that had started a few milliseconds earlier, because its
 /// signal handlers were not installed yet. A daemon now installs them before anything else.
-const REGRESSION_SEEDS: [u64; 2] = [102, 124];
+///
+/// 3, 4: the start of a rejection merged with the next response, and the request ran twice. Such a
+/// response is now malformed. 5: the same, and requests of a caller that pipelines were cut off by
+/// the exit of a stopping daemon, which now closes the connection before.
+const REGRESSION_SEEDS: [u64; 5] = [102, 124, 3, 4, 5];
 /// Seeds that run without `SOAK_SEEDS`, as in CI, together with [`REGRESSION_SEEDS`].
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 /// Duration of the faults without `SOAK_S`, in seconds.
@@ -278,25 +282,33 @@
     async fn inject_announcement(&self, random: &mut Pcg64) {
         let time = Duration::from_millis(random.random_range(500..3_000));
         let backend = &self.backends[random.random_range(0..self.backends.len())];
-        match random.random_range(0..4) {
+        let one = std::slice::from_ref(backend);
+        match random.random_range(0..5) {
             0 => self.leave_without_entry(backend, random).await,
-            1 => self.respond_for(backend, ResponseMode::Pause, time).await,
+            1 => self.respond_for(one, ResponseMode::Pause, time).await,
             2 => {
+                // A request is sent to the same server again only if all of them reject it.
                 let mode = ResponseMode::RepeatRejection;
-                self.respond_for(backend, mode, time).await;
+                self.respond_for(&self.backends, mode, time).await;
+            }
+            3 => {
+                let mode = ResponseMode::MergeRejection;
+                self.respond_for(one, mode, time).await;
             }
             _ => self.write_odd_entry(time).await,
         }
     }
 
-    async fn respond_for(&self, backend: &Backend, mode: ResponseMode, time: Duration) {
-        self.log_event(format!(
-            "server {}: {mode:?} for {time:?}",
-            backend.address()
-        ));
-        *backend.response_mode.lock() = (mode, 0.5);
+    async fn respond_for(&self, backends: &[Backend], mode: ResponseMode, time: Duration) {
+        let addresses: Vec<_> = backends.iter().map(|b| b.address().port()).collect();
+        self.log_event(format!("servers at {addresses:?}: {mode:?} for {time:?}"));
+        for backend in backends {
+            *backend.response_mode.lock() = (mode, 0.7);
+        }
         sleep(time).await;
-        *backend.response_mode.lock() = (ResponseMode::Normal, 0.0);
+        for backend in backends {
+            *backend.response_mode.lock() = (ResponseMode::Normal, 0.0);
+        }
     }
 
     /// A server says in its responses that it is leaving, while its entry says that it is ready.
--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -214,6 +214,11 @@
     let is_http_1_1 = response.version == Some(1);
     let headers = copy_headers(response.headers);
     buffer.advance(length);
+    // The server sent the start of a head, then a complete one. Neither belongs to the other.
+    let mut values = headers.0.iter().map(|h| &h.value[..]);
+    if contains_status_line(reason.as_bytes()) || values.any(contains_status_line) {
+        return Err(MessageError::Malformed);
+    }
     let has_no_body = request_method == "HEAD" || matches!(status, 100..=199 | 204 | 304);
     let framing = match framing(&headers)? {
         _ if has_no_body => Framing::Empty,
@@ -229,6 +234,20 @@
     }))
 }
 
+/// Whether a text contains the start of a status line, as `HTTP/1.1 200`.
+fn contains_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let is_status_line = |start: &[u8]| match start {
+        [b'0'..=b'1', b' ', status @ ..] => {
+            status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit)
+        }
+        _ => false,
+    };
+    text.windows(VERSION.len())
+        .enumerate()
+        .any(|(at, part)| part == VERSION && is_status_line(&text[at + VERSION.len()..]))
+}
+
 fn copy_headers(headers: &[httparse::Header<'_>]) -> Headers {
     let copied = headers.iter().map(|h| Header {
         name: Bytes::from(h.name.to_ascii_lowercase()),
--- a/crates/corianderworks_edge/tests/announcements.rs
+++ b/crates/corianderworks_edge/tests/announcements.rs
@@ -159,3 +159,34 @@
     }
     assert_eq!(backend.received_requests().len(), 4);
 }
+
+/// A faulty server sends the start of an earlier refusal, then the response to a request that it has
+/// run. Read as one head, the two are a refusal of that request, and it would run a second time.
+#[tokio::test]
+async fn a_refusal_that_merges_with_the_next_response_is_not_believed() {
+    const REST: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\
+                        Content-Length: 4\r\n\r\ndone";
+    const UNSIGNED: &str = "HTTP/1.1 500 Bad\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+    for (start, rest) in [
+        ("HTTP/1.1 503 Full\r\nNot-Executed: ", REST),
+        ("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nServer: abc", REST),
+        ("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nServer: ", UNSIGNED),
+        ("HTTP/1.1 421 Other", REST),
+        ("HTTP/1.1 421 Other\r\nInstance-Id: ", UNSIGNED),
+        // The signature of another response would make a success of a failure.
+        (
+            "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nServer: ",
+            UNSIGNED,
+        ),
+    ] {
+        let text: &'static str = [start, rest].concat().leak();
+        let first = Backend::start([support::OK, Action::Raw(text)]).await;
+        let second = Backend::start([]).await;
+        let daemon = Daemon::with_backends(&[&first, &second]).await;
+        let before = daemon.fetch(&post("/write/x", "w1", "fee")).await;
+        assert_eq!(before.status, 200);
+        let response = daemon.fetch(&post("/write/x", "w2", "fee")).await;
+        let runs = first.received_requests().len() + second.received_requests().len();
+        assert_eq!((response.status, runs), (502, 2), "{start}");
+    }
+}
