Share request bodies between attempts and bound them by the memory of the VM

Cause: each attempt copied the body behind its head, so that a daemon held up to three copies. The limit on all bodies was a quarter of a constant 256 MB and counted each body once.

Change: the head is encoded alone and written with the shared body in one call. Bodies take at most half of `memoryMb`. The 503 for a body that doesn't fit says when to come back.

--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -19,13 +19,14 @@
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::forward::{CallerRequest, forward_request};
+use crate::body_memory::BodyMemoryGuard;
+use crate::forward::{CallerRequest, forward_request, reply_without_attempt};
 use crate::http1::{
     BodyDecoder, Decoded, Framing, MessageError, RequestHead, contains_head_end, take_request_head,
 };
 use crate::reason::Reason;
 use crate::reply::{Reply, RestFraming, encode_chunk};
-use crate::state::{BodyMemoryGuard, Edge, Lifecycle, RequestGuard};
+use crate::state::{Edge, Lifecycle, RequestGuard};
 
 /// Capacity of the queue of pending responses of a connection; limits its concurrent requests.
 const PIPELINED_REQUESTS_MAX: usize = 32;
@@ -436,10 +437,8 @@
         );
         self.edge.metrics.request(reason, Duration::ZERO);
         let request = Some(self.edge.start_request());
-        let answer = tokio::spawn(async move {
-            let reply = Reply::local(reason, id);
-            Answer { reply, request }
-        });
+        let reply = reply_without_attempt(reason, id);
+        let answer = tokio::spawn(async move { Answer { reply, request } });
         let pending = PendingReply {
             answer,
             close: true,
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -72,12 +72,7 @@
             (outcome, Some(run))
         }
         Err(reason) => {
-            let is_temporary = matches!(reason, Reason::NoConfiguration | Reason::Stopping);
-            let reply = Reply::Local {
-                reason,
-                retry_after: is_temporary.then(|| retry_after(RETRY_AFTER_BASE, jitter())),
-                request_id: request_id.clone(),
-            };
+            let reply = reply_without_attempt(reason, request_id);
             (Outcome { reason, reply }, None)
         }
     };
@@ -92,6 +87,20 @@
     outcome.reply
 }
 
+/// Returns the response to a request that isn't forwarded. If the reason is temporary, it says when
+/// the caller may retry.
+pub(crate) fn reply_without_attempt(reason: Reason, request_id: Option<Bytes>) -> Reply {
+    let is_temporary = matches!(
+        reason,
+        Reason::NoConfiguration | Reason::Stopping | Reason::BodyMemory
+    );
+    Reply::Local {
+        reason,
+        retry_after: is_temporary.then(|| retry_after(RETRY_AFTER_BASE, jitter())),
+        request_id,
+    }
+}
+
 /// Logs and counts a request whose caller disconnected, in which case the future of the request is
 /// dropped before it completes.
 struct DisconnectLogger {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -23,14 +23,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
+use crate::body_memory::{BodyMemory, BodyMemoryGuard};
 use crate::logs::LineRateLimiter;
 use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
 
-/// Request bodies may take the memory of the VM divided by this number.
-const BODY_MEMORY_DIVISOR: usize = 4;
-/// Memory of a small edge VM, in bytes.
-const VM_MEMORY_BYTES: usize = 256 * 1024 * 1024;
+/// Request bodies may take the memory of the VM divided by this number. What they and the responses
+/// leave is for connections and the state of the fleet.
+const BODY_MEMORY_DIVISOR: usize = 2;
 
 /// Number of heartbeats that an outage of the store has to suppress before entries can lapse. The
 /// platform removes an entry after three heartbeat intervals of silence, of which up to one may
@@ -146,7 +146,7 @@
     stop_requested_at: OnceLock<Duration>,
     state: Mutex<EdgeState>,
     in_flight: AtomicUsize,
-    body_bytes: AtomicUsize,
+    request_memory: Arc<BodyMemory>,
 }
 
 impl Edge {
@@ -171,6 +171,7 @@
             knows_registered_members: false,
             removed_members: Vec::new(),
         };
+        let request_memory = BodyMemory::with_limit(settings.memory_bytes / BODY_MEMORY_DIVISOR);
         Self {
             settings,
             clock,
@@ -184,7 +185,7 @@
             stop_requested_at: OnceLock::new(),
             state: Mutex::new(state),
             in_flight: AtomicUsize::new(0),
-            body_bytes: AtomicUsize::new(0),
+            request_memory,
         }
     }
 
@@ -529,13 +530,8 @@
 
     /// Reserves memory for a request body until the guard is dropped. Returns `None` if the
     /// bodies of all requests would exceed their share of the VM's memory.
-    pub fn reserve_body_memory(self: &Arc<Self>, bytes: usize) -> Option<BodyMemoryGuard> {
-        let reserved = self.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        let guard = BodyMemoryGuard {
-            edge: self.clone(),
-            bytes,
-        };
-        (reserved <= VM_MEMORY_BYTES / BODY_MEMORY_DIVISOR).then_some(guard)
+    pub fn reserve_body_memory(&self, bytes: usize) -> Option<BodyMemoryGuard> {
+        self.request_memory.reserve(bytes)
     }
 }
 
@@ -579,20 +575,6 @@
     }
 }
 
-/// Memory reserved for a request body, released on drop.
-pub struct BodyMemoryGuard {
-    edge: Arc<Edge>,
-    bytes: usize,
-}
-
-impl Drop for BodyMemoryGuard {
-    fn drop(&mut self) {
-        self.edge
-            .body_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Returns the shortest time without contact with the store in which entries may lapse. A daemon
 /// that watches nothing hears of the store after at most [`Settings::apply_timeout`], because it
 /// calls it by then.
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::buf::Chain;
+use bytes::{Buf, Bytes, BytesMut};
 use corianderworks_decision::edge::routes::Idempotency;
 use corianderworks_platform::headers;
 use parking_lot::Mutex;
@@ -203,7 +204,7 @@
         reuse: ConnectionReuse,
         leaving: &mut bool,
     ) -> ExchangeResult {
-        let request = encode(outgoing, target, time_left);
+        let head = encode_head(outgoing, target, time_left);
         let deadline = Instant::now() + time_left;
         loop {
             let idle = match reuse {
@@ -219,7 +220,7 @@
                     Err(error) => return ExchangeResult::NotSent(error),
                 },
             };
-            match send_and_receive(&mut connection, &request, outgoing, leaving).await {
+            match send_and_receive(&mut connection, &head, outgoing, leaving).await {
                 // No byte of the request was sent, so it is safe to use another connection.
                 Err(SendError::NothingSent(_)) if connection.reused => continue,
                 Err(SendError::NothingSent(error)) => return ExchangeResult::NotSent(error),
@@ -335,9 +336,10 @@
     })
 }
 
-fn encode(outgoing: &OutgoingRequest, target: &Target, time_left: Duration) -> Bytes {
+/// Encodes the head of a request. The body follows it as it is, so that all attempts share it.
+fn encode_head(outgoing: &OutgoingRequest, target: &Target, time_left: Duration) -> Bytes {
     let head = &outgoing.head;
-    let mut out = BytesMut::with_capacity(512 + outgoing.body.len());
+    let mut out = BytesMut::with_capacity(512);
     out.extend_from_slice(head.method.as_bytes());
     out.extend_from_slice(b" ");
     out.extend_from_slice(head.target.as_bytes());
@@ -369,7 +371,6 @@
         put_header(&mut out, b"content-length", length.as_bytes());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&outgoing.body);
     out.freeze()
 }
 
@@ -388,18 +389,17 @@
 /// before it has read the body.
 async fn send_and_receive(
     connection: &mut Connection,
-    request: &Bytes,
+    head: &Bytes,
     outgoing: &OutgoingRequest,
     leaving: &mut bool,
 ) -> Result<ReceivedHead, SendError> {
     let reused = connection.reused;
-    let mut request = request.clone();
-    let first_written = connection
+    let mut request: Chain<Bytes, Bytes> = head.clone().chain(outgoing.body.clone());
+    connection
         .stream
-        .write(&request)
+        .write_buf(&mut request)
         .await
         .map_err(SendError::NothingSent)?;
-    bytes::Buf::advance(&mut request, first_written);
     let (mut reader, mut writer) = connection.stream.split();
     let buffer = &mut connection.buffer;
     let mut mismatched = 0;
@@ -419,7 +419,7 @@
                 continue;
             }
             Some(head) if matches_request(&head, outgoing, reused || mismatched > 0) => {
-                let request_complete = request.is_empty() && !write_failed;
+                let request_complete = !request.has_remaining() && !write_failed;
                 return Ok(ReceivedHead {
                     head,
                     request_complete,
@@ -446,11 +446,11 @@
                 Ok(_) => any_received = true,
                 Err(error) => return Err(SendError::ResponseError(error.into())),
             },
-            written = writer.write_buf(&mut request), if !request.is_empty() => {
+            written = writer.write_buf(&mut request), if request.has_remaining() => {
                 // The server may have responded and stopped reading; its response is still used.
                 if let Err(error) = written {
                     tracing::debug!(%error, "upstream: request not written completely");
-                    request = Bytes::new();
+                    request = Bytes::new().chain(Bytes::new());
                     write_failed = true;
                 }
             }
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -302,6 +302,7 @@
             window: Duration::from_secs(10),
         },
         capacity_millicores: 200,
+        memory_bytes: 160_000_000,
         apply_timeout: Duration::from_secs(2),
         server_heartbeat_interval: Duration::from_millis(1_500),
     }
@@ -460,6 +461,17 @@
     }
 }
 
+/// Returns the largest resident memory of this process so far, in bytes.
+pub fn peak_memory_bytes() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of this process");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let number = line.and_then(|l| l.split_whitespace().next());
+    number
+        .and_then(|n| n.parse::<usize>().ok())
+        .expect("a size in KB")
+        * 1024
+}
+
 /// Waits until a condition holds, and fails if it does not within the time.
 pub async fn assert_eventually<F>(within: Duration, what: &str, condition: F)
 where
