--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -330,10 +330,21 @@
     };
     let services = ["ledger", "archive"]
         .map(|name| json!({"name": name, "healthCheckPath": "/health", "maxConnections": 360}));
+    // Every other configuration has an unknown field that decoders can't read.
+    let note = if version % 2 == 1 {
+        nested()
+    } else {
+        Value::Null
+    };
     json!({
-        "version": format!("r{version}"), "services": services,
+        "version": format!("r{version}"), "services": services, "note": note,
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
                    "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
         "hosts": [{"host": "shop.example", "paths": routes.iter().map(path).collect::<Vec<_>>()}],
     })
 }
+
+/// Returns a value that exceeds the nesting limit of JSON decoders.
+pub fn nested() -> Value {
+    (0..300).fold(Value::Null, |inner, _| Value::Array(vec![inner]))
+}
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use backend::{Backend, ResponseMode, configuration};
+use backend::{Backend, ResponseMode, configuration, nested};
 use callers::Caller;
 use fleet::{DOMAINS, Vm};
 use history::History;
@@ -327,8 +327,7 @@
 
     async fn write_odd_entry(&self, time: Duration) {
         self.log_event("odd entry in the store".to_owned());
-        let nested = (0..300).fold(Value::Null, |inner, _| Value::Array(vec![inner]));
-        self.store.put("servers", "odd", nested, Value::Null);
+        self.store.put("servers", "odd", nested(), Value::Null);
         sleep(time).await;
         self.store.remove("servers", "odd");
     }
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -384,28 +384,19 @@
         if object.name != configuration::NAME {
             return None;
         }
-        match configuration::decode(object) {
-            Ok(decoded) => {
-                let bytes = Bytes::from(object.spec.to_string());
-                self.edge
-                    .install_configuration(Arc::new(decoded), Some(bytes.clone()), "store");
-                Some(bytes)
-            }
-            Err(error) => {
-                self.log_undecodable(object, &error);
-                None
-            }
-        }
+        let decoded = configuration::decode(object);
+        self.log_undecodable(object, decoded.as_ref().err());
+        let configuration = Arc::new(decoded.ok()?);
+        let bytes = Bytes::from(object.spec.to_string());
+        self.edge
+            .install_configuration(configuration, Some(bytes.clone()), "store");
+        Some(bytes)
     }
 
     fn decode_entry(&mut self, object: &StoredObject) -> Option<ServerEntry> {
-        match servers::decode(object) {
-            Ok(entry) => Some(entry),
-            Err(error) => {
-                self.log_undecodable(object, &error);
-                None
-            }
-        }
+        let decoded = servers::decode(object);
+        self.log_undecodable(object, decoded.as_ref().err());
+        decoded.ok()
     }
 
     /// Logs objects that can't be decoded far enough to tell which they are.
@@ -416,13 +407,35 @@
         }
     }
 
-    fn log_undecodable(&mut self, object: &StoredObject, error: &dyn std::error::Error) {
+    /// Logs once per revision that an object, or a part of it, can't be decoded.
+    fn log_undecodable<E>(&mut self, object: &StoredObject, error: Option<&E>)
+    where
+        E: std::error::Error,
+    {
+        let part_error = object.undecodable.as_deref();
+        if error.is_none() && part_error.is_none() {
+            return;
+        }
         let previous = self
             .undecodable_revisions
             .insert(object.name.clone(), object.revision);
-        if previous != Some(object.revision) {
-            let (kind, name, revision) = (self.object_kind.as_str(), &object.name, object.revision);
-            tracing::warn!(kind, name, revision, %error, "store: cannot decode object");
+        if previous == Some(object.revision) {
+            return;
+        }
+        let (kind, name, revision) = (self.object_kind.as_str(), &object.name, object.revision);
+        match error {
+            Some(error) => {
+                tracing::warn!(kind, name, revision, %error, part_error, "store: cannot decode object");
+            }
+            None => {
+                tracing::warn!(
+                    kind,
+                    name,
+                    revision,
+                    part_error,
+                    "store: cannot decode a part of an object, ignored"
+                );
+            }
         }
     }
 }
