Don't retry from a budget that others used up during a pause of the process

Change: the budget notices that heartbeats are missing for 1.6 s. Until 2.5 s after the pause, a daemon uses its own requests and its own share of the extra retries only, and of both the part that it uses after a start.

--- a/crates/corianderworks_decision/src/edge/budget.rs
+++ b/crates/corianderworks_decision/src/edge/budget.rs
@@ -7,14 +7,15 @@
 //! budget in proportion to the daemons whose reports it receives. A daemon that has just started
 //! doesn't know which retries happened before; if the entire fleet restarted, they may have used
 //! up the budget. In its first window it therefore uses only a part that running daemons always
-//! leave unused.
+//! leave unused. A daemon whose process was paused doesn't know either; until reports have arrived
+//! again, it uses its own share of that part.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::fleet::RunKey;
+use super::fleet::{DOWN_AFTER, DOWN_AFTER_OTHER_DOMAIN, RunKey};
 
 /// Bounds on retries, per service and over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -117,8 +118,14 @@
 pub struct RetryBudget {
     bounds: RetryBudgetBounds,
     started_at: Duration,
-    /// Share of the fleet, including this daemon, whose reports this daemon receives.
-    reporting_share: f64,
+    /// Number of daemons, including this one, whose reports this daemon receives.
+    reporting_daemons: usize,
+    /// Number of known daemons, including this one.
+    known_daemons: usize,
+    /// Last call of [`set_reporting_daemons`](Self::set_reporting_daemons), `None` before the first.
+    updated_at: Option<Duration>,
+    /// End of the last pause of this process, `None` if there was none.
+    resumed_at: Option<Duration>,
     windows: HashMap<ServiceTag, Window>,
     peer_counts: HashMap<(RunKey, ServiceTag), Counts>,
 }
@@ -129,16 +136,36 @@
         Self {
             bounds,
             started_at,
-            reporting_share: 1.0,
+            reporting_daemons: 1,
+            known_daemons: 1,
+            updated_at: None,
+            resumed_at: None,
             windows: HashMap::new(),
             peer_counts: HashMap::new(),
         }
     }
 
     /// Sets how many of the known daemons this daemon receives reports from. Both numbers
-    /// include the daemon itself.
-    pub fn set_reporting_daemons(&mut self, reporting: usize, known: usize) {
-        self.reporting_share = reporting as f64 / known.max(1) as f64;
+    /// include the daemon itself. Must be called once per heartbeat interval; a much longer time
+    /// between two calls counts as a pause of the process.
+    pub fn set_reporting_daemons(&mut self, reporting: usize, known: usize, now: Duration) {
+        if self.is_paused(now) {
+            self.resumed_at = Some(now);
+        }
+        self.updated_at = Some(now);
+        (self.reporting_daemons, self.known_daemons) = (reporting, known.max(1));
+    }
+
+    /// Whether this process was paused and hasn't noticed it yet.
+    fn is_paused(&self, now: Duration) -> bool {
+        let updated_at = self.updated_at.unwrap_or(now);
+        now.saturating_sub(updated_at) >= DOWN_AFTER
+    }
+
+    /// Whether reports that were missed during a pause of this process may be missing still.
+    fn misses_reports(&self, now: Duration) -> bool {
+        let has_resumed = |at| now.saturating_sub(at) < DOWN_AFTER_OTHER_DOMAIN;
+        self.is_paused(now) || self.resumed_at.is_some_and(has_resumed)
     }
 
     /// Counts a request to a service, which raises the number of allowed retries.
@@ -153,12 +180,17 @@
 
     /// Whether the budget allows a retry now.
     pub fn allows(&mut self, service: &str, now: Duration) -> bool {
-        let (bounds, fleet_share) = (self.bounds, self.reporting_share);
+        let (bounds, misses_reports) = (self.bounds, self.misses_reports(now));
         let window = self.windows.entry(ServiceTag::of(service)).or_default();
-        let sum = sum(&mut window.buckets, bounds.window, now);
+        let (buckets, daemons) = match misses_reports {
+            true => (&mut window.own_buckets, 1),
+            false => (&mut window.buckets, self.reporting_daemons),
+        };
+        let sum = sum(buckets, bounds.window, now);
+        let fleet_share = daemons as f64 / self.known_daemons as f64;
         let allowed = bounds.ratio * f64::from(sum.requests) + bounds.extra * fleet_share;
         let has_just_started = now.saturating_sub(self.started_at) < bounds.window;
-        let usable_share = if has_just_started {
+        let usable_share = if has_just_started || misses_reports {
             USABLE_SHARE_AFTER_START
         } else {
             USABLE_SHARE
--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -23,9 +23,9 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a report after which a daemon of the own domain counts as down: three
 /// heartbeat intervals.
-const DOWN_AFTER: Duration = Duration::from_millis(1_600);
+pub(super) const DOWN_AFTER: Duration = Duration::from_millis(1_600);
 /// Same for daemons of other domains, whose reports pass through two relays.
-const DOWN_AFTER_OTHER_DOMAIN: Duration = Duration::from_millis(2_500);
+pub(super) const DOWN_AFTER_OTHER_DOMAIN: Duration = Duration::from_millis(2_500);
 /// Time for which a registered daemon counts as up before its first report at the first start of the
 /// fleet. All VMs start at the same time, and weak ones take seconds to connect; without this time,
 /// each daemon would take itself for a relay meanwhile.
--- a/crates/corianderworks_decision/tests/edge_budget.rs
+++ b/crates/corianderworks_decision/tests/edge_budget.rs
@@ -43,12 +43,6 @@
     // The fleet runs for at least a window before the first request.
     let mut fleet = start(at_ms(0));
     let mut first_run_key = 0;
-    for (i, budget) in fleet.iter_mut().enumerate() {
-        let count = (0..daemons)
-            .filter(|j| *j == i || receives_from(i, *j))
-            .count();
-        budget.set_reporting_daemons(count, daemons);
-    }
     let mut reports_in_transit = Vec::new();
     let (mut requests, mut retries) = (Vec::new(), Vec::new());
     for ms in (10_000..50_000).step_by(10) {
@@ -58,6 +52,14 @@
             first_run_key = daemons;
             reports_in_transit.clear();
         }
+        if ms % 500 == 0 {
+            for (i, budget) in fleet.iter_mut().enumerate() {
+                let count = (0..daemons)
+                    .filter(|j| *j == i || receives_from(i, *j))
+                    .count();
+                budget.set_reporting_daemons(count, daemons, now);
+            }
+        }
         let daemon = (ms / 10) as usize % daemons;
         for _ in 0..2 {
             fleet[daemon].record_request("ledger", now);
@@ -137,3 +139,61 @@
         }
     }
 }
+
+/// Sends the counts of each running daemon to the other running ones.
+fn exchange_reports(fleet: &mut [RetryBudget], running: &[usize], now: Duration) {
+    for from in running {
+        let run = RunKey(*from as u32);
+        for (tag, counts) in fleet[*from].take_counts(true, now) {
+            for to in running.iter().filter(|to| *to != from) {
+                fleet[*to].apply_counts(run, tag, counts, now);
+            }
+        }
+    }
+}
+
+/// Guards against retries that a daemon allows itself after a pause of its process, while it doesn't
+/// know yet that others used up the budget meanwhile.
+#[test]
+fn daemons_that_were_paused_do_not_use_a_budget_that_others_have_used_up() {
+    let mut fleet: Vec<_> = (0..6).map(|_| RetryBudget::new(BOUNDS, at_ms(0))).collect();
+    let all: Vec<_> = (0..fleet.len()).collect();
+    let (mut requests, mut retries) = (0, 0);
+    for ms in (20_000..35_000).step_by(10) {
+        let now = at_ms(ms);
+        // Half of the fleet is paused from 30 to 34.9 s.
+        let running = if (30_000..34_900).contains(&ms) {
+            &all[..3]
+        } else {
+            &all
+        };
+        for daemon in running {
+            // Requests that arrived during the pause are waiting at its end.
+            let count = if ms == 34_900 && *daemon >= 3 { 200 } else { 1 };
+            for _ in 0..count {
+                fleet[*daemon].record_request("ledger", now);
+                requests += u32::from(ms >= 25_000);
+                if ms >= 30_000 {
+                    retries += u32::from(fleet[*daemon].try_acquire("ledger", now));
+                }
+            }
+        }
+        // No reports reach the daemons that were paused until the end of the test.
+        let reporting = if ms < 30_000 { &all[..] } else { &all[..3] };
+        if ms % 500 == 0 {
+            for daemon in running {
+                fleet[*daemon].set_reporting_daemons(reporting.len(), all.len(), now);
+            }
+        }
+        if ms % 100 == 0 {
+            exchange_reports(&mut fleet, reporting, now);
+        }
+    }
+    let allowed = BOUNDS.ratio * f64::from(requests) + BOUNDS.extra;
+    assert!(f64::from(retries) <= allowed, "{retries} of {allowed}");
+    // The daemons that were not paused use most of their part.
+    assert!(
+        f64::from(retries) >= 0.6 * allowed,
+        "{retries} of {allowed}"
+    );
+}
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -426,7 +426,7 @@
         state.removed_members.extend(removed);
         let up = state.fleet.up_count(now);
         let known = state.fleet.others().count() + 1;
-        state.budget.set_reporting_daemons(up, known);
+        state.budget.set_reporting_daemons(up, known, now);
         drop(state);
         self.edge.metrics.set_gauge("daemons_up", up as u64);
         self.edge.metrics.set_gauge("daemons_known", known as u64);
