Split reports that are too long for a datagram

A report of over 1,100 bytes was dropped, heartbeats included, so a busy daemon counted as silent and its load was unknown to others.

--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod reason;
 pub mod registration;
 pub mod reply;
+pub mod report_datagrams;
 pub mod reports;
 mod run;
 pub mod state;
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -9,16 +9,14 @@
 use corianderworks_decision::edge::fleet::{Fleet, HEARTBEAT_INTERVAL, Member, RunKey, Topology};
 use corianderworks_decision::edge::peer_load::{Report, batch_delay, relay_delay, report_delay};
 use corianderworks_platform::configuration;
-use corianderworks_wire::codec;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use crate::peers::{DATAGRAM_MAX_BYTES, Incoming, Message, Peers, StoreUpdate, store_messages};
+use crate::peers::{Incoming, Message, Peers, StoreUpdate, store_messages};
+use crate::report_datagrams::{encode, split};
 use crate::reports::ReportResult;
 use crate::state::Edge;
 
-/// Largest number of reports in one datagram.
-const REPORTS_PER_DATAGRAM: usize = 32;
 /// Shortest time between two requests for the members of the fleet.
 const MEMBERS_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest number of members that are logged one by one when they are discovered together.
@@ -164,21 +162,23 @@
     /// Sends a report to the relays of the own domain, and to all candidates if it is complete.
     fn send_report(&mut self, complete: bool) {
         self.report_due = None;
-        self.sequence += 1;
-        let report = self.edge.take_report(self.sequence, complete);
+        let parts = split(self.edge.take_report(self.sequence + 1, complete));
+        self.sequence += parts.len() as u32;
         let to = match complete {
             true => &self.topology.candidates,
             false => &self.topology.relays,
         };
-        self.send_reports(to, std::slice::from_ref(&report));
-        self.relay_own_domain(report);
+        self.send_reports(to, &parts);
+        for part in parts {
+            self.relay_own_domain(part);
+        }
     }
 
     fn send_reports(&self, to: &[SocketAddr], reports: &[Report]) {
         if to.is_empty() {
             return;
         }
-        for datagram in datagrams(reports) {
+        for datagram in encode(reports) {
             for address in to {
                 self.peers.send_datagram(*address, datagram.clone());
             }
@@ -498,24 +498,3 @@
         );
     }
 }
-
-/// Encodes reports into datagrams and halves batches that are too long for one. A single report
-/// that is too long is dropped.
-fn datagrams(reports: &[Report]) -> Vec<Bytes> {
-    let mut encoded = Vec::new();
-    for part in reports.chunks(REPORTS_PER_DATAGRAM) {
-        match codec::encode(&Message::Reports(part.to_vec())) {
-            Ok(bytes) if bytes.len() <= DATAGRAM_MAX_BYTES => encoded.push(bytes),
-            Ok(_) if part.len() > 1 => {
-                let (first, second) = part.split_at(part.len() / 2);
-                encoded.extend(datagrams(first));
-                encoded.extend(datagrams(second));
-            }
-            Ok(bytes) => {
-                tracing::debug!(bytes = bytes.len(), "news: report too long for a datagram")
-            }
-            Err(error) => tracing::error!(%error, "news: cannot encode a report"),
-        }
-    }
-    encoded
-}
