Report a view of the store only for the kind of object that was read

Change: a report names the part that was just read, and each part has its own time of arrival. A daemon without a recent report on a kind reads that kind itself. Messages between edge daemons change.

Evidence: watchers_that_read_only_the_configuration_do_not_hide_a_removal fails on the code before.

--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -98,13 +98,14 @@
     }
 }
 
-/// State of the store as last seen by a daemon that watches it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// State of the store as just read by a daemon that watches it. A part is `None` if that kind of
+/// object was not read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreView {
     /// Digest of the listed backend servers; see [`Servers::digest`](super::servers::Servers::digest).
-    pub servers_digest: u64,
+    pub servers_digest: Option<u64>,
     /// Version of the configuration, or 0 if there is none.
-    pub configuration: u64,
+    pub configuration: Option<u64>,
 }
 
 #[derive(Debug, Default)]
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -122,13 +122,12 @@
     pub fn full_store_update(&self) -> StoreUpdate {
         let now = self.clock.now();
         let state = self.lock_state();
-        let is_recent = |at: Duration| now.saturating_sub(at) < self.settings.apply_timeout / 4;
-        let reported = state.reported_store_view.filter(|(_, at)| is_recent(*at));
+        let max_age = self.settings.apply_timeout / 4;
         StoreUpdate {
             entries: state.servers.entries().cloned().collect(),
             removed: Vec::new(),
             leaving: state.servers.leaving().map(ServerEntry::tag).collect(),
-            view: reported.map(|(view, _)| view),
+            view: state.reported_store_view.recent(now, max_age),
             configuration: state.configuration_bytes.clone(),
         }
     }
@@ -170,6 +169,6 @@
 
     fn record_store_view(&mut self, view: StoreView, now: Duration) {
         self.servers.store_responded(now);
-        self.reported_store_view = Some((view, now));
+        self.reported_store_view.record(view, now);
     }
 }
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -54,8 +54,8 @@
     pub peer_load: PeerLoad,
     /// Changes to send in the next report.
     pub pending_report: PendingReport,
-    /// Latest store view that another daemon reported, and its time of arrival.
-    pub reported_store_view: Option<(StoreView, Duration)>,
+    /// Latest store view that other daemons reported.
+    pub reported_store_view: ReportedStoreView,
     /// Current configuration, encoded as in the store.
     pub configuration_bytes: Option<Bytes>,
     /// Whether the registered daemons were read from the store.
@@ -65,12 +65,9 @@
 }
 
 impl EdgeState {
-    /// Returns this daemon's own store view: the configuration version and a digest of the servers.
-    pub fn store_view(&self) -> StoreView {
-        StoreView {
-            servers_digest: self.servers.digest(),
-            configuration: self.configuration.as_ref().map_or(0, |c| c.version.0),
-        }
+    /// Returns the version of the configuration in force, or 0 if there is none.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
 
     /// Records and logs that a server said that it is shutting down. Returns whether it is new.
@@ -94,6 +91,38 @@
     }
 }
 
+/// Store view that other daemons reported. Each part has its own time of arrival, because a watcher
+/// may be able to read only one kind of object.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ReportedStoreView {
+    /// Digest of the servers, and its time of arrival.
+    pub servers_digest: Option<(u64, Duration)>,
+    /// Version of the configuration, and its time of arrival.
+    pub configuration: Option<(u64, Duration)>,
+}
+
+impl ReportedStoreView {
+    /// Records the parts that a report contains.
+    pub fn record(&mut self, view: StoreView, now: Duration) {
+        let dated = |part: Option<u64>| part.map(|part| (part, now));
+        self.servers_digest = dated(view.servers_digest).or(self.servers_digest);
+        self.configuration = dated(view.configuration).or(self.configuration);
+    }
+
+    /// Returns the parts that arrived less than `max_age` ago, `None` if there are none.
+    pub fn recent(&self, now: Duration, max_age: Duration) -> Option<StoreView> {
+        let recent = |part: Option<(u64, Duration)>| {
+            let (part, at) = part?;
+            (now.saturating_sub(at) < max_age).then_some(part)
+        };
+        let view = StoreView {
+            servers_digest: recent(self.servers_digest),
+            configuration: recent(self.configuration),
+        };
+        (view != StoreView::default()).then_some(view)
+    }
+}
+
 /// Changes since the last report, to be sent in the next one.
 #[derive(Debug, Default)]
 pub struct PendingReport {
@@ -103,7 +132,7 @@
     pub changed: Vec<ServerTag>,
     /// Servers that have just said that they are shutting down.
     pub leaving: Vec<ServerTag>,
-    /// Own store view, if this daemon has just read the store on behalf of others.
+    /// What this daemon has just read from the store on behalf of others.
     pub store: Option<StoreView>,
 }
 
@@ -166,7 +195,7 @@
             fleet,
             peer_load: PeerLoad::default(),
             pending_report: PendingReport::default(),
-            reported_store_view: None,
+            reported_store_view: ReportedStoreView::default(),
             configuration_bytes: None,
             knows_registered_members: false,
             removed_members: Vec::new(),
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -166,11 +166,15 @@
         if state.fleet.watches_store(now) {
             return Source::Store;
         }
-        let is_recent =
-            |at: Duration| now.saturating_sub(at) < self.share_of_apply_timeout(VIEW_MAX_AGE_SHARE);
-        match state.reported_store_view {
-            Some((_, at)) if is_recent(at) => Source::Peers,
-            _ => Source::Store,
+        let max_age = self.share_of_apply_timeout(VIEW_MAX_AGE_SHARE);
+        let reported = state.reported_store_view.recent(now, max_age);
+        let is_reported = reported.is_some_and(|view| match self.object_kind {
+            ObjectKind::Configuration => view.configuration.is_some(),
+            ObjectKind::Servers => view.servers_digest.is_some(),
+        });
+        match is_reported {
+            true => Source::Peers,
+            false => Source::Store,
         }
     }
 
@@ -200,13 +204,14 @@
 
     fn has_mismatch(&self) -> bool {
         let state = self.edge.lock_state();
-        let Some((view, _)) = state.reported_store_view else {
-            return false;
-        };
-        let own = state.store_view();
+        let reported = &state.reported_store_view;
         match self.object_kind {
-            ObjectKind::Configuration => view.configuration > own.configuration,
-            ObjectKind::Servers => view.servers_digest != own.servers_digest,
+            ObjectKind::Configuration => reported
+                .configuration
+                .is_some_and(|(version, _)| version > state.configuration_version()),
+            ObjectKind::Servers => reported
+                .servers_digest
+                .is_some_and(|(digest, _)| digest != state.servers.digest()),
         }
     }
 
@@ -255,13 +260,18 @@
         }
     }
 
-    /// Adds the view of the store to the next report if this daemon watches the store for others.
+    /// Adds what was read to the next report if this daemon watches the store for others. The other
+    /// kind of object is left out, since calls for it may fail.
     fn report_store_view(&self) {
         if !self.is_watcher() {
             return;
         }
         let mut state = self.edge.lock_state();
-        let view = state.store_view();
+        let mut view = state.pending_report.store.unwrap_or_default();
+        match self.object_kind {
+            ObjectKind::Configuration => view.configuration = Some(state.configuration_version()),
+            ObjectKind::Servers => view.servers_digest = Some(state.servers.digest()),
+        }
         state.pending_report.store = Some(view);
         drop(state);
         self.edge.report_trigger.notify_one();
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -360,6 +360,21 @@
     }
 }
 
+/// Guards against use of a server that left while the watchers could read the configuration, but not
+/// the servers: their reports on one kind of object say nothing about the other.
+#[tokio::test]
+async fn watchers_that_read_only_the_configuration_do_not_hide_a_removal() {
+    let fleet = SeparateAccess::start(&["s1", "s2"]).await;
+    fleet
+        .watchers()
+        .for_each(|w| w.set_response_mode_of("servers", ResponseMode::Hang));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.store.remove("servers", "s1");
+    tokio::time::sleep(APPLY_TIMEOUT).await;
+    let accepting: Vec<_> = fleet.others().map(accepting_servers).collect();
+    assert_eq!(accepting, [1, 1]);
+}
+
 /// Daemons that don't watch the store have to know of an outage, too, to keep the servers whose
 /// entries lapsed in it.
 #[tokio::test]
