Bound the memory of responses that callers don't read

Responses of up to 1 MB are held until they are written.

Change: such responses take at most a quarter of the VM's memory; further ones are streamed.

--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -25,7 +25,7 @@
     BodyDecoder, Decoded, Framing, MessageError, RequestHead, contains_head_end, take_request_head,
 };
 use crate::reason::Reason;
-use crate::reply::{Reply, RestFraming, encode_chunk};
+use crate::reply::{Encoded, Reply, RestFraming, encode_chunk};
 use crate::state::{Edge, Lifecycle, RequestGuard};
 
 /// Capacity of the queue of pending responses of a connection; limits its concurrent requests.
@@ -488,9 +488,14 @@
 }
 
 async fn write_reply(writer: &mut OwnedWriteHalf, reply: Reply, close: bool) -> io::Result<()> {
-    let encoded = reply.encode(close);
-    writer.write_all(&encoded.bytes).await?;
-    let Some((mut stream, framing)) = encoded.rest else {
+    let Encoded {
+        bytes,
+        rest,
+        memory,
+    } = reply.encode(close);
+    writer.write_all(&bytes).await?;
+    drop((bytes, memory));
+    let Some((mut stream, framing)) = rest else {
         return Ok(());
     };
     loop {
--- a/crates/corianderworks_edge/src/reply.rs
+++ b/crates/corianderworks_edge/src/reply.rs
@@ -6,6 +6,7 @@
 use corianderworks_platform::headers;
 use serde::Serialize;
 
+use crate::body_memory::BodyMemoryGuard;
 use crate::http1::{Framing, ResponseHead, put_header, put_status};
 use crate::reason::Reason;
 use crate::upstream::{BodyStream, ResponseBody, UpstreamResponse};
@@ -41,6 +42,8 @@
     pub bytes: Bytes,
     /// Rest of the body, to be streamed with this framing; `None` if the body is complete.
     pub rest: Option<(Box<BodyStream>, RestFraming)>,
+    /// Memory that the bytes take, to be released when they are written.
+    pub memory: Option<BodyMemoryGuard>,
 }
 
 /// Framing of the rest of a streamed body.
@@ -74,6 +77,7 @@
             Self::Continue => Encoded {
                 bytes: Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"),
                 rest: None,
+                memory: None,
             },
             Self::Upstream { response, method } => encode_upstream(response, &method, close),
             Self::Local {
@@ -86,7 +90,7 @@
 }
 
 fn encode_upstream(response: UpstreamResponse, method: &str, close: bool) -> Encoded {
-    let UpstreamResponse { head, body } = response;
+    let UpstreamResponse { head, body, memory } = response;
     let mut out = BytesMut::with_capacity(1024);
     put_status(&mut out, head.status, &head.reason);
     let has_no_body = method == "HEAD" || matches!(head.status, 204 | 304);
@@ -108,9 +112,13 @@
             Encoded {
                 bytes: out.freeze(),
                 rest: None,
+                memory: Some(memory),
             }
         }
-        ResponseBody::Partial(first, stream) => encode_partial(out, &head, &first, stream),
+        ResponseBody::Partial(first, stream) => Encoded {
+            memory: Some(memory),
+            ..encode_partial(out, &head, &first, stream)
+        },
     }
 }
 
@@ -137,6 +145,7 @@
     Encoded {
         bytes: out.freeze(),
         rest: Some((stream, framing)),
+        memory: None,
     }
 }
 
@@ -185,6 +194,7 @@
     Encoded {
         bytes: out.freeze(),
         rest: None,
+        memory: None,
     }
 }
 
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -31,6 +31,8 @@
 /// Request bodies may take the memory of the VM divided by this number. What they and the responses
 /// leave is for connections and the state of the fleet.
 const BODY_MEMORY_DIVISOR: usize = 2;
+/// Same for the bodies of responses that are held until they are written.
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
 
 /// Number of heartbeats that an outage of the store has to suppress before entries can lapse. The
 /// platform removes an entry after three heartbeat intervals of silence, of which up to one may
@@ -200,11 +202,13 @@
             knows_registered_members: false,
             removed_members: Vec::new(),
         };
-        let request_memory = BodyMemory::with_limit(settings.memory_bytes / BODY_MEMORY_DIVISOR);
+        let memory = |divisor| BodyMemory::with_limit(settings.memory_bytes / divisor);
+        let request_memory = memory(BODY_MEMORY_DIVISOR);
+        let response_memory = memory(RESPONSE_MEMORY_DIVISOR);
         Self {
             settings,
             clock,
-            pool: Arc::new(ConnectionPool::new()),
+            pool: Arc::new(ConnectionPool::new(response_memory)),
             metrics,
             served_log_limit: LineRateLimiter::default(),
             failed_log_limit: LineRateLimiter::default(),
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::body_memory::{BodyMemory, BodyMemoryGuard};
 use crate::http1::{
     BodyDecoder, Decoded, Framing, RequestHead, ResponseHead, put_header, take_response_head,
 };
@@ -73,7 +74,8 @@
 pub enum ResponseBody {
     /// The body was received completely.
     Complete(Bytes),
-    /// Start of a body that is too large to buffer, and the stream of the rest.
+    /// Start of a body that is too large to buffer, or for which no memory is left, and the stream of
+    /// the rest.
     Partial(Bytes, Box<BodyStream>),
 }
 
@@ -84,6 +86,8 @@
     pub head: ResponseHead,
     /// Body, decoded from the framing in the head.
     pub body: ResponseBody,
+    /// Memory that the received part of the body takes.
+    pub memory: BodyMemoryGuard,
 }
 
 /// Whether a request may be sent on an idle connection.
@@ -156,15 +160,21 @@
 }
 
 /// Idle connections by server address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Memory for responses that are held until they are written.
+    response_memory: Arc<BodyMemory>,
 }
 
 impl ConnectionPool {
-    /// Creates a pool without connections; they are added when responses are complete.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates a pool without connections; they are added when responses are complete. Responses
+    /// that exceed `response_memory` are streamed.
+    pub fn new(response_memory: Arc<BodyMemory>) -> Self {
+        Self {
+            idle: Mutex::default(),
+            response_memory,
+        }
     }
 
     /// Closes the connections whose idle timeout has passed, that the server has closed, or on
@@ -244,14 +254,21 @@
         deadline: Instant,
     ) -> ExchangeResult {
         let mut decoder = BodyDecoder::new(received.head.framing);
-        let mut body = BytesMut::new();
+        let mut memory = self.response_memory.empty_guard();
+        let mut body = match received.head.framing {
+            Framing::Length(length) => BytesMut::with_capacity(
+                usize::try_from(length).map_or(0, |length| length.min(BUFFERED_BODY_MAX_BYTES)),
+            ),
+            _ => BytesMut::new(),
+        };
         loop {
-            match next_part(&mut connection, &mut decoder).await {
-                Ok(Some(part)) => body.extend_from_slice(&part),
+            let part = match next_part(&mut connection, &mut decoder).await {
+                Ok(Some(part)) => part,
                 Ok(None) => break,
                 Err(response_error) => return ExchangeResult::Unknown(response_error),
-            }
-            if body.len() > BUFFERED_BODY_MAX_BYTES {
+            };
+            body.extend_from_slice(&part);
+            if body.len() > BUFFERED_BODY_MAX_BYTES || !memory.try_grow(part.len()) {
                 let stream = BodyStream {
                     connection,
                     decoder,
@@ -259,7 +276,7 @@
                 };
                 let body = ResponseBody::Partial(body.freeze(), Box::new(stream));
                 let head = received.head;
-                return ExchangeResult::Response(UpstreamResponse { head, body });
+                return ExchangeResult::Response(UpstreamResponse { head, body, memory });
             }
         }
         if received.request_complete && received.head.keep_alive && connection.buffer.is_empty() {
@@ -268,6 +285,7 @@
         ExchangeResult::Response(UpstreamResponse {
             head: received.head,
             body: ResponseBody::Complete(body.freeze()),
+            memory,
         })
     }
 
