Forward heads with more than 128 headers within the limits of their size

Change: a head with more headers is parsed once more, with room for all that its size limit can hold.

Evidence: many_short_headers_are_forwarded fails on the code before.

--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -7,8 +7,10 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// Maximum number of headers of a message.
-const HEADERS_MAX: usize = 128;
+/// Number of headers of a message that are parsed without an allocation.
+const USUAL_HEADERS_MAX: usize = 128;
+/// Size of the shortest header line, `a:` and a line feed, in bytes.
+const HEADER_LINE_MIN_BYTES: usize = 3;
 /// Maximum size of the head of a response, in bytes; that of a request is configured.
 pub const RESPONSE_HEAD_MAX_BYTES: usize = 64 * 1024;
 /// Maximum length of a chunk-size line that arrives in several reads, with extensions, in bytes.
@@ -160,10 +162,20 @@
     while buffer.starts_with(b"\r\n") {
         buffer.advance(2);
     }
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut request = httparse::Request::new(&mut headers);
-    let length = match request.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
+    let parsed = parse_head(max_bytes, |headers| {
+        let mut request = httparse::Request::new(headers);
+        let httparse::Status::Complete(length) = request.parse(buffer)? else {
+            return Ok(httparse::Status::Partial);
+        };
+        let method = request.method.unwrap_or_default().to_owned();
+        let target = request.path.unwrap_or_default().to_owned();
+        let is_http_1_1 = request.version == Some(1);
+        let headers = copy_headers(request.headers);
+        let parsed = (length, method, target, is_http_1_1, headers);
+        Ok(httparse::Status::Complete(parsed))
+    });
+    let (length, method, target, is_http_1_1, headers) = match parsed {
+        Ok(httparse::Status::Complete(parsed)) => parsed,
         Ok(httparse::Status::Partial) if buffer.len() > max_bytes => {
             return Err(MessageError::HeadTooLarge);
         }
@@ -174,10 +186,6 @@
     if length > max_bytes {
         return Err(MessageError::HeadTooLarge);
     }
-    let method = request.method.unwrap_or_default().to_owned();
-    let target = request.path.unwrap_or_default().to_owned();
-    let is_http_1_1 = request.version == Some(1);
-    let headers = copy_headers(request.headers);
     buffer.advance(length);
     let framing = match framing(&headers)? {
         Framing::UntilClose => Framing::Empty,
@@ -199,20 +207,26 @@
     buffer: &mut BytesMut,
     request_method: &str,
 ) -> Result<Option<ResponseHead>, MessageError> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
-    let mut response = httparse::Response::new(&mut headers);
-    let length = match response.parse(buffer) {
-        Ok(httparse::Status::Complete(length)) => length,
+    let parsed = parse_head(RESPONSE_HEAD_MAX_BYTES, |headers| {
+        let mut response = httparse::Response::new(headers);
+        let httparse::Status::Complete(length) = response.parse(buffer)? else {
+            return Ok(httparse::Status::Partial);
+        };
+        let status = response.code.unwrap_or_default();
+        let reason = response.reason.unwrap_or_default().to_owned();
+        let is_http_1_1 = response.version == Some(1);
+        let headers = copy_headers(response.headers);
+        let parsed = (length, status, reason, is_http_1_1, headers);
+        Ok(httparse::Status::Complete(parsed))
+    });
+    let (length, status, reason, is_http_1_1, headers) = match parsed {
+        Ok(httparse::Status::Complete(parsed)) => parsed,
         Ok(httparse::Status::Partial) if buffer.len() > RESPONSE_HEAD_MAX_BYTES => {
             return Err(MessageError::HeadTooLarge);
         }
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(MessageError::Malformed),
     };
-    let status = response.code.unwrap_or_default();
-    let reason = response.reason.unwrap_or_default().to_owned();
-    let is_http_1_1 = response.version == Some(1);
-    let headers = copy_headers(response.headers);
     buffer.advance(length);
     // The server sent the start of a head, then a complete one. Neither belongs to the other.
     let mut values = headers.0.iter().map(|h| &h.value[..]);
@@ -234,6 +248,20 @@
     }))
 }
 
+/// Parses a head of up to `max_bytes` with room for all the headers that it can hold.
+fn parse_head<'b, T, F>(max_bytes: usize, mut parse: F) -> httparse::Result<T>
+where
+    F: FnMut(&mut [httparse::Header<'b>]) -> httparse::Result<T>,
+{
+    match parse(&mut [httparse::EMPTY_HEADER; USUAL_HEADERS_MAX]) {
+        Err(httparse::Error::TooManyHeaders) => parse(&mut vec![
+            httparse::EMPTY_HEADER;
+            max_bytes / HEADER_LINE_MIN_BYTES
+        ]),
+        parsed => parsed,
+    }
+}
+
 /// Whether a text contains the start of a status line, as `HTTP/1.1 200`.
 fn contains_status_line(text: &[u8]) -> bool {
     const VERSION: &[u8] = b"HTTP/1.";
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -121,6 +121,24 @@
     assert!((500..=700).contains(&time_left_ms), "{time_left_ms}");
 }
 
+/// Guards against a limit on the number of headers that rejects heads within the limit of their size.
+#[tokio::test]
+async fn many_short_headers_are_forwarded() {
+    let many_headers = "x-n: 1\r\n".repeat(500);
+    let signed = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n";
+    let response = format!("{signed}{many_headers}Content-Length: 2\r\n\r\nok").leak();
+    let backend = Backend::start([Action::Raw(response)]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let request = get("/read/x", "r1").replacen("\r\n", &format!("\r\n{many_headers}"), 1);
+    let response = daemon.fetch(&request).await;
+    assert_eq!((response.status, &*response.body), (200, "ok"));
+    let received_request = backend.received_requests().remove(0);
+    for head in [received_request.head, response.head] {
+        let forwarded = head.lines().filter(|line| *line == "x-n: 1").count();
+        assert_eq!(forwarded, 500, "{head}");
+    }
+}
+
 #[tokio::test]
 async fn response_to_another_request_is_skipped() {
     let mismatched = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: o\r\n\
