Don't cut uploads off after a pause of the daemon itself

`daemon` answered 408 `slow-body` to a caller that was not slow: after a pause of the process the timer of the body had elapsed while its data was still in the socket; and the timer ran on while a slow server kept the body from being read.

Change: the timer runs only while somebody waits for data, and data has 50 ms to arrive after it.

--- a/crates/corianderworks/src/body.rs
+++ b/crates/corianderworks/src/body.rs
@@ -49,25 +49,57 @@
         .boxed_unsync()
 }
 
-/// Body with limits on its length and on the pauses between its frames.
+/// Time for data that arrived in time to get from the socket to the body. After the process itself
+/// was paused, the timer may be polled before the socket is read.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(50);
+
+/// State of the pause timer of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PauseTimer {
+    /// Nobody waits for a frame.
+    Stopped,
+    /// The timer ends after the longest permitted pause.
+    Running,
+    /// The pause was too long, and the timer ends after [`DELIVERY_MARGIN`].
+    Elapsed,
+}
+
+/// Body with limits on its length and on the time that its receiver waits for a frame.
 pub struct LimitedBody {
     inner: Body,
     remaining_bytes: u64,
     limit_bytes: u64,
     max_pause: Duration,
-    pause_timer: Pin<Box<Sleep>>,
+    timer: Pin<Box<Sleep>>,
+    timer_state: PauseTimer,
 }
 
 impl LimitedBody {
     /// Limits the length of a body in bytes and the time to wait for each frame.
     pub fn new(inner: Body, limit_bytes: u64, max_pause: Duration) -> Self {
-        let pause_timer = Box::pin(tokio::time::sleep(max_pause));
         Self {
             inner,
             remaining_bytes: limit_bytes,
             limit_bytes,
             max_pause,
-            pause_timer,
+            timer: Box::pin(tokio::time::sleep(max_pause)),
+            timer_state: PauseTimer::Stopped,
+        }
+    }
+
+    /// Completes when the receiver has waited too long for the next frame.
+    fn poll_pause(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let (next_state, duration) = match self.timer_state {
+                PauseTimer::Stopped => (PauseTimer::Running, self.max_pause),
+                PauseTimer::Running => {
+                    ready!(self.timer.as_mut().poll(cx));
+                    (PauseTimer::Elapsed, DELIVERY_MARGIN)
+                }
+                PauseTimer::Elapsed => return self.timer.as_mut().poll(cx),
+            };
+            self.timer_state = next_state;
+            self.timer.as_mut().reset(Instant::now() + duration);
         }
     }
 }
@@ -82,13 +114,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Pending => {
-                ready!(self.pause_timer.as_mut().poll(cx));
+                ready!(self.poll_pause(cx));
                 return Poll::Ready(Some(Err(BodyError::Paused(self.max_pause))));
             }
             Poll::Ready(frame) => frame,
         };
-        let pause_end = Instant::now() + self.max_pause;
-        self.pause_timer.as_mut().reset(pause_end);
+        self.timer_state = PauseTimer::Stopped;
         let Some(Ok(frame)) = frame else {
             return Poll::Ready(frame);
         };
--- a/crates/corianderworks/tests/caller_http.rs
+++ b/crates/corianderworks/tests/caller_http.rs
@@ -746,7 +746,10 @@
     }
     for _ in 0..8 {
         for stream in &mut streams {
-            stream.write_all(b"x").await.unwrap();
+            if let Err(error) = stream.write_all(b"x").await {
+                let (bytes, _) = read_all(stream, EXCHANGE_TIMEOUT).await;
+                panic!("{error} after {:?}", String::from_utf8_lossy(&bytes));
+            }
         }
         tokio::time::sleep(Duration::from_millis(300)).await;
         let home = daemon.entry().parts.homes.get(ServiceKey::of("script"));
