--- a/crates/corianderworks_decision/src/assessment.rs
+++ b/crates/corianderworks_decision/src/assessment.rs
@@ -103,7 +103,8 @@
     co_owner: Option<PeerEvidence>,
     siblings: Siblings,
 ) -> Assessment {
-    let Some(failing_since) = own.first_failure() else {
+    let (Some(first_failure), Some(failing_since)) = (own.first_failure(), own.failing_since())
+    else {
         return Assessment::Inconclusive;
     };
     let mut threshold = policy.threshold;
@@ -112,7 +113,7 @@
     }
     let recent_report =
         co_owner.filter(|report| now.saturating_sub(report.received_at) <= MAX_REPORT_AGE);
-    if recent_report.is_some_and(|report| report.received_at < failing_since + MIN_REPORT_DELAY) {
+    if recent_report.is_some_and(|report| report.received_at < first_failure + MIN_REPORT_DELAY) {
         // The report may have been sent before the failure, so it can't confirm or contradict it.
         return Assessment::Inconclusive;
     }
@@ -120,7 +121,7 @@
     let failing_threshold = FAILING_SHARE * policy.threshold;
     let co_owner_succeeds = recent_report.is_some_and(|report| {
         let failing = report.score >= failing_threshold && report.failures >= FAILING_MIN_FAILURES;
-        !failing && report.last_success > Some(failing_since)
+        !failing && report.last_success > Some(first_failure)
     });
     let own_succeeds = recent_report.is_some_and(|report| {
         let failing = own.score() >= failing_threshold && own.failures() >= FAILING_MIN_FAILURES;
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -147,6 +147,8 @@
     stuck: u32,
     consecutive_successes: u32,
     first_failure: Option<Duration>,
+    /// Time of the second failed request of the current evidence.
+    second_failure: Option<Duration>,
     last_failure: Duration,
     last_success: Option<Duration>,
     last_slow: Option<Duration>,
@@ -251,6 +253,9 @@
         self.last_failure = now;
         self.consecutive_successes = 0;
         self.failures += u32::from(first);
+        if self.failures >= 2 {
+            self.second_failure.get_or_insert(now);
+        }
     }
 
     /// Records that a request reached an overdue level, and counts it when that makes it stuck.
@@ -265,7 +270,7 @@
         (self.errors, self.stalls) = (0.0, 0.0);
         (self.slow, self.truncation) = (0.0, 0.0);
         (self.failures, self.stuck) = (0, 0);
-        self.first_failure = None;
+        (self.first_failure, self.second_failure) = (None, None);
     }
 
     /// Caps the sum, so that recovery is detected soon, and records when the evidence is elevated.
@@ -358,6 +363,12 @@
         self.first_failure
     }
 
+    /// Time since which the upstream seems to fail continually; `None` without evidence. A single
+    /// failed request before the others may have nothing to do with them and doesn't count.
+    pub fn failing_since(&self) -> Option<Duration> {
+        self.second_failure.or(self.first_failure)
+    }
+
     /// Time of the last failure; zero when there was none.
     pub fn last_failure(&self) -> Duration {
         self.last_failure
--- a/crates/corianderworks_decision/tests/health.rs
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -221,6 +221,34 @@
     }
 }
 
+/// Guards against the ejection of a healthy server because a short disturbance follows a single
+/// failure that has nothing to do with it.
+#[test]
+fn short_disturbance_after_a_single_failure_ejects_no_server() {
+    let rate = BaselineRate::default();
+    for prefer in [Prefer::Detection, Prefer::Stability] {
+        let policy = EjectionPolicy::for_preference(prefer);
+        let mut health = UpstreamHealth::default();
+        health.failure(ms(1000), Evidence::Errors, rate.failure_weight(), true);
+        health.success(ms(2000), ms(20), SLOW_THRESHOLD, rate.success_weight());
+        let mut assess_after_errors_for = |from: u64, until: u64| {
+            let mut now = ms(from);
+            while now <= ms(until) {
+                health.failure(now, Evidence::Errors, rate.failure_weight(), true);
+                now += ms(20);
+            }
+            let now = ms(until);
+            let co_owner = peer(now, 0.8 * policy.threshold, 4, ms(900));
+            assessment(now, &policy, &health, Some(co_owner), SIBLINGS)
+        };
+        let disturbed = assess_after_errors_for(3000, 3100);
+        assert_eq!(disturbed, Assessment::Inconclusive, "{prefer:?}");
+        let failing = assess_after_errors_for(3120, 3500);
+        let unhealthy = Assessment::Unhealthy(Evidence::Errors);
+        assert_eq!(failing, unhealthy, "{prefer:?}");
+    }
+}
+
 /// Guards against using a report of the other owner that was received less than 100 ms after the
 /// first failure, because it may have been sent before the failure.
 #[test]
