Abandon late reads only if a retry is left for them

`daemon` abandoned a stuck idempotent request although the budget for retries was empty, the deadline too near, or its body gone: callers got 504 while the server was about to answer.

Change: a stuck request is abandoned only if a retry is left, counting those that were abandoned and not retried yet. Requests with a body count as not repeatable.

Evidence: a_late_request_is_abandoned_only_for_a_retry, late_requests_share_the_retries_that_are_left and late_reads_are_answered_when_no_retry_is_left fail on the code before.

--- a/crates/corianderworks/src/home.rs
+++ b/crates/corianderworks/src/home.rs
@@ -221,7 +221,8 @@
             customer: job.head.customer_key(),
             priority: job.head.priority,
             deadline: job.head.deadline,
-            idempotent: job.head.idempotent,
+            // A body is forwarded as it arrives and can't be sent a second time.
+            idempotent: job.head.idempotent && job.body.is_end_stream(),
             tried: Vec::new(),
         };
         let mut may_have_run = false;
@@ -244,12 +245,15 @@
                     retryable,
                     final_reply,
                 } => {
+                    may_have_run |= attempt_may_have_run(&final_reply);
+                    let Some(retryable) = retryable else {
+                        return final_reply;
+                    };
                     let retry =
                         self.read(|dispatcher, now| dispatcher.may_retry(now, &request, outcome));
-                    may_have_run |= attempt_may_have_run(&final_reply);
-                    match (retry, retryable) {
-                        (Retry::Retry, Some(retryable)) => job = *retryable,
-                        _ => return final_reply,
+                    match retry {
+                        Retry::Retry => job = *retryable,
+                        Retry::GiveUp => return final_reply,
                     }
                     request.tried.push(upstream);
                 }
--- a/crates/corianderworks/tests/backend_contract.rs
+++ b/crates/corianderworks/tests/backend_contract.rs
@@ -197,6 +197,14 @@
 }
 
 impl FaultTest {
+    async fn start(daemons: usize) -> Self {
+        Self {
+            testbed: Testbed::start(daemons, BackendSettings::default()).await,
+            slot_holders: Vec::new(),
+            sent: Vec::new(),
+        }
+    }
+
     fn stand_ins(&self) -> impl Iterator<Item = &BackendStandIn> {
         self.testbed
             .fleet
@@ -349,12 +357,7 @@
 }
 
 async fn run_cases(daemons: usize, cases: &[Case]) {
-    let testbed = Testbed::start(daemons, BackendSettings::default()).await;
-    let mut test = FaultTest {
-        testbed,
-        slot_holders: Vec::new(),
-        sent: Vec::new(),
-    };
+    let mut test = FaultTest::start(daemons).await;
     for &(case, fault, reads, orders) in cases {
         test.apply(fault).await;
         for kind in KINDS {
@@ -392,3 +395,26 @@
     run_cases(6, &CASES).await;
     run_cases(6, &DRAINING).await;
 }
+
+/// Guards against abandoning late reads when the retry budget is empty, which fails requests that
+/// slow servers answer within the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn late_reads_are_answered_when_no_retry_is_left() {
+    let mut test = FaultTest::start(1).await;
+    // Latencies of healthy servers, against which the later reads are overdue.
+    for _ in 0..40 {
+        let response = test.exchange("GET", "/ordering", "").await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    test.apply(errors(500, 0.0)).await;
+    for _ in 0..12 {
+        test.exchange("GET", "/ordering", "").await;
+    }
+    test.apply(Fault::Mode(Mode::Slow { factor: 32.0 })).await;
+    let fields = "cw-deadline-ms: 2000\r\n";
+    for read in 0..6 {
+        let response = test.exchange("GET", "/ordering", fields).await;
+        let outcome = classify(&response);
+        assert_eq!(outcome, Answered, "read {read}: {response:?}");
+    }
+}
--- a/crates/corianderworks_decision/src/dispatch_evaluate.rs
+++ b/crates/corianderworks_decision/src/dispatch_evaluate.rs
@@ -72,12 +72,11 @@
         }
     }
 
-    /// Detects overdue requests in flight before they time out.
-    ///
-    /// Retires the connections of stuck requests and abandons those that are idempotent.
+    /// Detects overdue requests in flight before they time out, and retires the connections of
+    /// stuck ones.
     pub(crate) fn check_overdue(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let weight = self.slow.failure_weight();
-        for (number, running) in &mut self.running {
+        for running in self.running.values_mut() {
             let Some(entry) = self.upstreams.get_mut(&running.upstream) else {
                 continue;
             };
@@ -96,7 +95,8 @@
                 }
             }
             entry.health.cap_score(now, self.ejection_policy.threshold);
-            if level < RETIRE_LEVEL || running.abandoned {
+            running.stuck = level >= RETIRE_LEVEL;
+            if !running.stuck || running.abandoned {
                 continue;
             }
             let upstream = running.upstream;
@@ -109,15 +109,33 @@
                 });
                 actions.push(Action::Probe { upstream });
             }
-            if running.idempotent {
-                running.abandoned = true;
-                let lease = Lease {
-                    upstream,
-                    number: *number,
-                };
-                let ticket = running.ticket;
-                actions.push(Action::Abandon { ticket, lease });
+        }
+    }
+
+    /// Abandons stuck requests that can be retried. Others keep running, because their servers may
+    /// still answer in time.
+    pub(crate) fn abandon_stuck(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.at_floor {
+            return;
+        }
+        let expected_latency = self.recent_latency.p50.unwrap_or_default();
+        let abandoned = self.running.values().filter(|r| r.abandoned).count();
+        let mut retries_left = (self.retry_budget.left(now) as usize).saturating_sub(abandoned);
+        for (&number, running) in &mut self.running {
+            let can_abandon = running.stuck && running.idempotent && !running.abandoned;
+            if !can_abandon || now + expected_latency >= running.deadline {
+                continue;
             }
+            let Some(left) = retries_left.checked_sub(1) else {
+                return;
+            };
+            retries_left = left;
+            running.abandoned = true;
+            let upstream = running.upstream;
+            actions.push(Action::Abandon {
+                ticket: running.ticket,
+                lease: Lease { upstream, number },
+            });
         }
     }
 
--- a/crates/corianderworks_decision/src/dispatch_place.rs
+++ b/crates/corianderworks_decision/src/dispatch_place.rs
@@ -112,10 +112,12 @@
             upstream,
             started: now,
             last_active: now,
+            deadline: request.deadline,
             idempotent: request.idempotent,
             trial,
             level: 0,
             full_weight_levels: 0,
+            stuck: false,
             abandoned: false,
         };
         self.running.insert(number, running);
--- a/crates/corianderworks_decision/src/dispatch_types.rs
+++ b/crates/corianderworks_decision/src/dispatch_types.rs
@@ -108,7 +108,7 @@
     pub priority: u8,
     /// Monotonic time at which the caller stops waiting.
     pub deadline: Duration,
-    /// True when the request may run more than once.
+    /// True when the request may run more than once and can be sent again.
     pub idempotent: bool,
     /// Upstreams that this request was already sent to; empty on the first attempt.
     pub tried: Vec<UpstreamKey>,
@@ -297,7 +297,8 @@
         /// Reason returned to the caller.
         reason: Reason,
     },
-    /// Cancel a stuck idempotent request, then call `finish` with `Stalled`.
+    /// Cancel a stuck idempotent request, then call `finish` with `Stalled`; `may_retry` then
+    /// permits a retry unless another request took the last one.
     Abandon {
         /// Running request to cancel.
         ticket: Ticket,
--- a/crates/corianderworks_decision/src/dispatcher.rs
+++ b/crates/corianderworks_decision/src/dispatcher.rs
@@ -94,12 +94,15 @@
     pub(crate) started: Duration,
     /// Time of the last activity: when the request was sent or body bytes arrived.
     pub(crate) last_active: Duration,
+    pub(crate) deadline: Duration,
     pub(crate) idempotent: bool,
     pub(crate) trial: bool,
     /// Overdue level that was already counted as evidence.
     pub(crate) level: u8,
     /// Overdue levels counted at full weight, not attributed to a possible connection fault.
     pub(crate) full_weight_levels: u8,
+    /// True when the request was stuck at the last tick.
+    pub(crate) stuck: bool,
     pub(crate) abandoned: bool,
 }
 
@@ -350,6 +353,7 @@
             self.evaluate(now, upstream, &mut actions);
         }
         actions.extend(self.refresh_standings(now));
+        self.abandon_stuck(now, &mut actions);
         self.advance_ejections(now, &mut actions);
         self.announce(now, &mut actions);
         self.announced_ejections.remove_expired(now);
--- a/crates/corianderworks_decision/src/retry.rs
+++ b/crates/corianderworks_decision/src/retry.rs
@@ -48,14 +48,21 @@
         self.requests[index] += 1;
     }
 
-    /// Takes one retry from the budget, or returns `false` if none is left.
-    pub fn take(&mut self, now: Duration) -> bool {
-        let index = self.advance(now);
+    /// Number of retries that are left at `now`.
+    pub fn left(&mut self, now: Duration) -> u32 {
+        self.advance(now);
         let requests: u32 = self.requests.iter().sum();
         let retries: u32 = self.retries.iter().sum();
-        if retries >= MIN_RETRIES.max(requests * self.percent / 100) {
+        let allowed = MIN_RETRIES.max(requests * self.percent / 100);
+        allowed.saturating_sub(retries)
+    }
+
+    /// Takes one retry from the budget, or returns `false` if none is left.
+    pub fn take(&mut self, now: Duration) -> bool {
+        if self.left(now) == 0 {
             return false;
         }
+        let index = self.advance(now);
         self.retries[index] += 1;
         true
     }
--- a/crates/corianderworks_decision/tests/dispatcher.rs
+++ b/crates/corianderworks_decision/tests/dispatcher.rs
@@ -47,6 +47,16 @@
     home
 }
 
+/// Lets requests succeed until 50 ms, so that the home knows the usual latencies.
+fn record_usual_latencies(home: &mut Dispatcher) {
+    for t in 0..40 {
+        if let Admission::Run(lease) = home.admit(ms(t), request(t, true, ms(9_000))) {
+            home.finish(ms(t), lease, Outcome::Success { latency: LATENCY });
+        }
+    }
+    home.tick(ms(50));
+}
+
 fn request(ticket: u64, idempotent: bool, deadline: Duration) -> RequestView {
     RequestView {
         ticket: Ticket(ticket),
@@ -316,12 +326,7 @@
 fn a_stuck_request_retires_its_connection() {
     for idempotent in [true, false] {
         let mut home = home(1, 1, None);
-        for t in 0..40 {
-            if let Admission::Run(lease) = home.admit(ms(t), request(t, true, ms(9_000))) {
-                home.finish(ms(t), lease, Outcome::Success { latency: LATENCY });
-            }
-        }
-        home.tick(ms(50));
+        record_usual_latencies(&mut home);
         home.admit(ms(50), request(100, idempotent, ms(9_000)));
         let actions: Vec<Action> = (51..400).flat_map(|t| home.tick(ms(t))).collect();
         let count_actions =
@@ -337,6 +342,67 @@
     }
 }
 
+/// Guards against abandoning a late request that can't be retried, although its server may still
+/// answer within the deadline.
+#[test]
+fn a_late_request_is_abandoned_only_for_a_retry() {
+    let mut home = home(1, 2, None);
+    record_usual_latencies(&mut home);
+    let failed = Outcome::Error {
+        status: 500,
+        latency: LATENCY,
+    };
+    let other = request(50, true, ms(9_000));
+    while home.may_retry(ms(50), &other, failed) == Retry::Retry {}
+
+    home.admit(ms(50), request(100, true, ms(30_000)));
+    home.admit(ms(50), request(101, true, ms(1_000)));
+    let mut abandoned_within = |from: u64, until: u64| -> Vec<Ticket> {
+        (from..until)
+            .flat_map(|t| home.tick(ms(t)))
+            .filter_map(|action| match action {
+                Action::Abandon { ticket, .. } => Some(ticket),
+                _ => None,
+            })
+            .collect()
+    };
+    assert_eq!(abandoned_within(51, 9_000), []);
+    // The budget is available again, but too late for the second request.
+    assert_eq!(abandoned_within(9_000, 12_000), [Ticket(100)]);
+}
+
+/// Guards against abandoning more late requests at once than the budget has retries for.
+#[test]
+fn late_requests_share_the_retries_that_are_left() {
+    let mut home = home(1, 8, None);
+    record_usual_latencies(&mut home);
+    let late: Vec<RequestView> = (100..116).map(|t| request(t, true, ms(5_000))).collect();
+    for request in &late {
+        assert!(matches!(
+            home.admit(ms(50), request.clone()),
+            Admission::Run(_)
+        ));
+    }
+    let mut retried = 0;
+    for t in 51..1_000 {
+        for action in home.tick(ms(t)) {
+            if let Action::Abandon { ticket, lease } = action {
+                let stalled = Outcome::Stalled {
+                    latency: ms(t - 50),
+                };
+                home.finish(ms(t), lease, stalled);
+                let request = &late[(ticket.0 - 100) as usize];
+                assert_eq!(home.may_retry(ms(t), request, stalled), Retry::Retry);
+                retried += 1;
+            }
+        }
+    }
+    assert!(
+        (1..late.len()).contains(&retried),
+        "{retried} requests retried"
+    );
+}
+
 /// Guards against hedging a request that may run only once, without a free slot, or before the
 /// service's p95 latency is known and has elapsed.
 #[test]
@@ -348,12 +414,7 @@
         None,
         "no latencies are known"
     );
-    for t in 0..40 {
-        if let Admission::Run(lease) = home.admit(ms(t), request(t, true, ms(9_000))) {
-            home.finish(ms(t), lease, Outcome::Success { latency: LATENCY });
-        }
-    }
-    home.tick(ms(50));
+    record_usual_latencies(&mut home);
     let delay = home.hedge_after(ms(50), &idempotent);
     assert!(delay.is_some_and(|delay| delay >= LATENCY), "{delay:?}");
     let non_idempotent = request(901, false, ms(9_000));
