Don't eject a server that recovers last from a slowdown of its service

Change: each server has a mean of its last few latencies; if half of the siblings are still slowed, the slowness is one of the service. Stuck requests still count.

Evidence: end_of_a_shared_slowdown_ejects_no_server fails on the code before.

--- a/crates/corianderworks_decision/src/assessment.rs
+++ b/crates/corianderworks_decision/src/assessment.rs
@@ -17,6 +17,8 @@
 /// request could otherwise suffice, because it adds evidence at each overdue level that it reaches;
 /// each level is twice as late as the one before.
 const FAILING_MIN_FAILURES: u32 = 2;
+/// Number of stuck requests that suffice in place of the required number of failures.
+const STUCK_MIN: u32 = 2;
 /// Minimum time from the first failure to the arrival of the other owner's report. A report that
 /// arrives sooner may have been sent before the failure.
 const MIN_REPORT_DELAY: Duration = Duration::from_millis(100);
@@ -60,9 +62,20 @@
     /// Siblings whose evidence has recently reached [`ELEVATED_SHARE`] of the threshold, see
     /// [`UpstreamHealth::elevated`].
     pub elevated: u32,
+    /// Siblings that have responded to this home since then.
+    pub measured: u32,
+    /// Those of them whose last few responses were much slower than usual, see
+    /// [`UpstreamHealth::is_slowed`].
+    pub slowed: u32,
 }
 
 impl Siblings {
+    /// True when the whole service is slow, or was until a few responses ago. The first fast
+    /// responses of the siblings prove nothing against an upstream that has not responded since.
+    fn are_slowed(self) -> bool {
+        self.slowed > 0 && self.slowed * 2 >= self.measured
+    }
+
     /// True when a fault of this one upstream explains the evidence.
     ///
     /// Many affected siblings mean overload or a shared dependency. Slowness also needs proof
@@ -146,7 +159,7 @@
         Evidence::Slowness | Evidence::Stalls => policy.min_slow_duration,
         _ => policy.min_error_duration,
     };
-    let enough_requests = failures >= policy.min_failures || stuck >= 2;
+    let enough_requests = failures >= policy.min_failures || stuck >= STUCK_MIN;
     let own_evidence_elevated = own_score >= ELEVATED_SHARE * threshold;
     // After a success, the time since the last failure doesn't count towards the duration. A
     // disturbance shorter than `min_duration` therefore never makes an upstream unhealthy, whatever
@@ -160,8 +173,13 @@
     if score < threshold || !enough_requests || !own_evidence_elevated || duration < min_duration {
         return Assessment::Inconclusive;
     }
+    // Stuck requests are too late for a slowdown of the service to explain them.
+    let slowdown_explains =
+        matches!(evidence, Evidence::Slowness | Evidence::Stalls) && stuck < STUCK_MIN;
     if co_owner_succeeds {
         Assessment::PathFault(evidence)
+    } else if slowdown_explains && siblings.are_slowed() {
+        Assessment::SharedFault
     } else if siblings.isolates_fault(evidence) {
         Assessment::Unhealthy(evidence)
     } else if siblings.responding < siblings.total.min(MIN_RESPONDING_SIBLINGS) {
--- a/crates/corianderworks_decision/src/dispatch_evaluate.rs
+++ b/crates/corianderworks_decision/src/dispatch_evaluate.rs
@@ -35,6 +35,7 @@
                 self.failures.record(false);
                 self.slow.record(!good);
                 self.latencies.record(now, latency);
+                entry.health.record_latency(latency);
                 if good {
                     let weight = self.failures.success_weight();
                     entry.health.success(now, latency, slow_threshold, weight);
@@ -166,6 +167,10 @@
             siblings.responding += u32::from(success.max(slow) > Some(since));
             siblings.good += u32::from(success > Some(since) && success >= slow);
             siblings.elevated += u32::from(elevated);
+            if own.last_success().max(own.last_slow()) > Some(since) {
+                siblings.measured += 1;
+                siblings.slowed += u32::from(own.is_slowed(self.recent_latency.p50));
+            }
         }
         siblings
     }
--- a/crates/corianderworks_decision/src/health.rs
+++ b/crates/corianderworks_decision/src/health.rs
@@ -29,6 +29,10 @@
 /// Minimum excess over the reference latency of a slow response, because timers and schedulers
 /// are coarse.
 const SLOW_MIN_EXCESS: Duration = Duration::from_millis(20);
+/// Weight of a response in the mean of the last few latencies.
+const RECENT_LATENCY_WEIGHT: f64 = 0.25;
+/// Multiple of the reference latency from which the last few responses count as a slowdown.
+const SLOWDOWN_FACTOR: f64 = 2.0;
 /// Latency from which a response is slow before enough latencies are known.
 const SLOW_DEFAULT: Duration = Duration::from_secs(1);
 /// Evidence is dropped at the next failure when the last one was longer ago than this.
@@ -154,6 +158,8 @@
     last_slow: Option<Duration>,
     last_elevated: Option<Duration>,
     mean_latency: Option<f64>,
+    /// Mean of the last few latencies in seconds.
+    recent_latency: Option<f64>,
     retired_until: Option<Duration>,
     recent_ejections: u32,
     last_ejection: Duration,
@@ -185,6 +191,21 @@
         level
     }
 
+    /// Records the latency of a complete response, in time or not.
+    pub fn record_latency(&mut self, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        let mean = self.recent_latency.get_or_insert(sample);
+        *mean += (sample - *mean) * RECENT_LATENCY_WEIGHT;
+    }
+
+    /// True when the last few responses were much slower than `reference`, the service's median.
+    pub fn is_slowed(&self, reference: Option<Duration>) -> bool {
+        let (Some(recent), Some(reference)) = (self.recent_latency, reference) else {
+            return false;
+        };
+        recent >= reference.as_secs_f64() * SLOWDOWN_FACTOR
+    }
+
     /// Records a complete response in time.
     ///
     /// A response that took more than half of `slow_threshold` subtracts only half the weight, and
--- a/crates/corianderworks_decision/tests/dispatcher.rs
+++ b/crates/corianderworks_decision/tests/dispatcher.rs
@@ -403,6 +403,55 @@
     );
 }
 
+/// Guards against the ejection of the server that is slowest to recover from a slowdown of the whole
+/// service, when its siblings have just become fast again.
+#[test]
+fn end_of_a_shared_slowdown_ejects_no_server() {
+    for (sibling_latency, asks_for_ejection) in [(ms(30), false), (LATENCY, true)] {
+        let mut home = home(1, 8, None);
+        let mut now = ms(0);
+        let mut actions = Vec::new();
+        // Eight requests every 100 ms; each is answered in the time that its server needs.
+        let mut round = |home: &mut Dispatcher, latency_of: &dyn Fn(UpstreamKey) -> Duration| {
+            now += ms(100);
+            let leases: Vec<Lease> = (0..8)
+                .filter_map(|t| match home.admit(now, request(t, true, ms(90_000))) {
+                    Admission::Run(lease) => Some(lease),
+                    _ => None,
+                })
+                .collect();
+            for lease in leases {
+                let latency = latency_of(lease.upstream);
+                actions.extend(home.finish(now, lease, Outcome::Success { latency }));
+            }
+            actions.extend(home.tick(now));
+        };
+        for _ in 0..40 {
+            round(&mut home, &|_| LATENCY);
+        }
+        let slowest = UpstreamKey(1);
+        let shared = |_| sibling_latency;
+        let slow_server = |others: Duration| {
+            move |upstream| match upstream == slowest {
+                true => ms(60),
+                false => others,
+            }
+        };
+        for _ in 0..10 {
+            round(&mut home, &shared);
+        }
+        // Evidence on the slowest server reaches the threshold as the others become fast again.
+        for _ in 0..6 {
+            round(&mut home, &slow_server(sibling_latency));
+        }
+        round(&mut home, &slow_server(LATENCY));
+        let asked = actions
+            .iter()
+            .any(|a| matches!(a, Action::AskEject { upstream, .. } if *upstream == slowest));
+        assert_eq!(asked, asks_for_ejection, "siblings at {sibling_latency:?}");
+    }
+}
+
 /// Guards against hedging a request that may run only once, without a free slot, or before the
 /// service's p95 latency is known and has elapsed.
 #[test]
--- a/crates/corianderworks_decision/tests/health.rs
+++ b/crates/corianderworks_decision/tests/health.rs
@@ -16,6 +16,8 @@
     responding: 7,
     good: 7,
     elevated: 0,
+    measured: 7,
+    slowed: 0,
 };
 
 /// Result of a request of one owner; one is sent every 20 ms.
