Soak: silence open connections for good while new ones work

Platforms lose connections without a reset. The soak's proxy could silence open and new connections only together, and both worked again afterwards, so a daemon that goes on using dead idle connections was not played.

--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -59,6 +59,8 @@
 /// Time after the last fault until requests must be served again. The platform allows 15 s;
 /// daemons need 2 s for store entries and 3 s to detect connections that stopped responding.
 const RECOVERY_TIME: Duration = Duration::from_millis(6_000);
+/// Time within which daemons notice that connections went silent: requests on them time out.
+const SILENCE_NOTICED: Duration = Duration::from_millis(3_000);
 /// Time over which the served share of the recovered fleet is measured.
 const MEASUREMENT_TIME: Duration = Duration::from_millis(2_000);
 /// Minimum share of requests that a recovered fleet must serve while there are no faults.
@@ -247,6 +249,27 @@
         backend.proxy.set(ProxyMode::Pass);
     }
 
+    /// Silences the open connections of a daemon to the store, or those of all daemons to a server.
+    /// New connections work.
+    async fn silence_connections(&self, random: &mut Pcg64) {
+        let fault_start = Instant::now();
+        if random.random_bool(0.5) {
+            let vm = random.random_range(0..self.vms.len());
+            self.log_event(format!("open store connections of vm {vm} go silent"));
+            self.vms[vm].lock().await.store.silence_open();
+        } else {
+            let backend = self.backends.choose(random).expect("servers");
+            self.log_event(format!(
+                "open connections of {} go silent",
+                backend.address()
+            ));
+            backend.proxy.silence_open();
+        }
+        sleep(SILENCE_NOTICED).await;
+        let period = (fault_start, Instant::now());
+        self.history.fault_periods.lock().push(period);
+    }
+
     /// Makes some servers fail a share of their requests.
     async fn inject_response_faults(&self, time: Duration, random: &mut Pcg64) {
         let response_modes = [
@@ -414,6 +437,12 @@
             sleep(Duration::from_millis(pause_ms)).await;
         }
     });
+    let mut random = Pcg64::seed_from_u64(seed * 83);
+    let silencing = harness.clone();
+    fault_tasks.spawn(async move {
+        sleep(fault_duration.mul_f64(random.random_range(0.1..0.9))).await;
+        silencing.silence_connections(&mut random).await;
+    });
     while let Some(exited) = fault_tasks.join_next().await {
         exited.expect("a fault task");
     }
--- a/crates/corianderworks/tests/soak/proxy.rs
+++ b/crates/corianderworks/tests/soak/proxy.rs
@@ -7,7 +7,10 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
+/// Time for which a silenced connection stays open, longer than a run.
+const SILENCE_MAX: Duration = Duration::from_secs(600);
 const BUFFER_BYTES: usize = 16 * 1024;
 
 /// What the proxy does with connections and the bytes on them.
@@ -28,6 +31,8 @@
 pub struct Proxy {
     pub address: SocketAddr,
     mode: watch::Sender<ProxyMode>,
+    /// Number of times that the open connections were silenced.
+    silenced: watch::Sender<u32>,
 }
 
 impl Proxy {
@@ -35,13 +40,24 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let mode = watch::Sender::new(ProxyMode::Pass);
-        let modes = mode.clone();
+        let silenced = watch::Sender::new(0);
+        let (modes, silences) = (mode.clone(), silenced.clone());
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(forward(stream, server, modes.subscribe()));
+                let (mode, silenced) = (modes.subscribe(), silences.subscribe());
+                tokio::spawn(forward(stream, server, mode, silenced));
             }
         });
-        Self { address, mode }
+        Self {
+            address,
+            mode,
+            silenced,
+        }
+    }
+
+    /// Forwards nothing more on the connections that are open now, and leaves them open.
+    pub fn silence_open(&self) {
+        self.silenced.send_modify(|count| *count += 1);
     }
 
     pub fn set(&self, mode: ProxyMode) {
@@ -49,7 +65,12 @@
     }
 }
 
-async fn forward(client: TcpStream, server: SocketAddr, mode: watch::Receiver<ProxyMode>) {
+async fn forward(
+    client: TcpStream,
+    server: SocketAddr,
+    mode: watch::Receiver<ProxyMode>,
+    mut silenced: watch::Receiver<u32>,
+) {
     if *mode.borrow() == ProxyMode::Close {
         return;
     }
@@ -58,9 +79,17 @@
     };
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
+    let forwarding = async {
+        tokio::select! {
+            () = copy_direction(client_read, server_write, mode.clone(), false) => {}
+            () = copy_direction(server_read, client_write, mode, true) => {}
+        }
+    };
+    tokio::pin!(forwarding);
     tokio::select! {
-        () = copy_direction(client_read, server_write, mode.clone(), false) => {}
-        () = copy_direction(server_read, client_write, mode, true) => {}
+        () = &mut forwarding => {}
+        // Keeps the connections open, since `forwarding` owns them.
+        Ok(()) = silenced.changed() => sleep(SILENCE_MAX).await,
     }
 }
 
@@ -87,7 +116,7 @@
         };
         match current {
             ProxyMode::Close => return,
-            ProxyMode::Delay(time) => tokio::time::sleep(time).await,
+            ProxyMode::Delay(time) => sleep(time).await,
             _ => {}
         }
         if to.write_all(&buffer[..bytes]).await.is_err() {
