Tests of the fleet: wait for the whole first state, close without a panic

A daemon reads both kinds of object at the same time, in any order; the test waited for the servers only, then replaced the configuration by a malformed one, which the daemon then read first. It has nothing to keep in that case, so the product is right.

Beside it, the fake store closed connections by a panic.

The test waits for both kinds. The fake store returns an error to hyper, which closes the connection as well. Four tests that slept for 50 or 100 ms until a request had arrived or ended wait for that state. No bound of a test was changed.

--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -406,8 +406,9 @@
     store.put("servers", "forged", json!({"address": 7}), Value::Null);
     store.put("servers", "text", json!("text"), Value::Null);
     let edge = start_daemon(next_port(), 2, "a", store.address).await;
+    // The daemon reads both kinds of object at the same time, in any order.
     assert_eventually(APPLY_TIMEOUT, "first state", || {
-        accepting_servers(&edge) == 1
+        configuration_version(&edge) == 3 && accepting_servers(&edge) == 1
     })
     .await;
     store.put("config", "main", json!({"version": "r99"}), Value::Null);
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -4,7 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use support::{Action, Backend, Daemon, OK, ROUTE_TIMEOUT, get, header, post};
+use support::{
+    Action, Backend, Daemon, OK, RESPONSE_TIMEOUT, ROUTE_TIMEOUT, assert_eventually, get, header,
+    post,
+};
 
 const SIGNED_HEAD: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n";
 
@@ -287,8 +290,8 @@
     let daemon = Daemon::with_backends(&[&backend]).await;
     let mut caller = daemon.connect().await;
     caller.send(&get("/read/x", "r1")).await;
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    assert_eq!(backend.received_requests().len(), 1);
+    let is_received = || backend.received_requests().len() == 1;
+    assert_eventually(RESPONSE_TIMEOUT, "the request", is_received).await;
     drop(caller);
     // The platform requires this within 500 ms.
     tokio::time::sleep(Duration::from_millis(450)).await;
--- a/crates/corianderworks_edge/tests/stopping.rs
+++ b/crates/corianderworks_edge/tests/stopping.rs
@@ -22,7 +22,8 @@
     let daemon = Daemon::with_backends(&[&backend]).await;
     let mut caller = daemon.connect().await;
     caller.send(&post("/write/x", "w1", "fee")).await;
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let is_received = || backend.received_requests().len() == 1;
+    assert_eventually(RESPONSE_TIMEOUT, "the request", is_received).await;
     daemon
         .edge
         .set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
@@ -51,7 +52,8 @@
             .concat(),
         )
         .await;
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    let is_received = || !backend.received_requests().is_empty();
+    assert_eventually(RESPONSE_TIMEOUT, "the first request", is_received).await;
     daemon
         .edge
         .set_lifecycle(Lifecycle::Stopping(Phase::Accepting));
@@ -102,8 +104,8 @@
     assert_eq!(daemon.edge.in_flight(), 1);
     let response = caller.response().await.expect("a response");
     assert_eq!(response.body.len(), BODY_BYTES);
-    tokio::time::sleep(Duration::from_millis(50)).await;
-    assert_eq!(daemon.edge.in_flight(), 0);
+    let is_finished = || daemon.edge.in_flight() == 0;
+    assert_eventually(RESPONSE_TIMEOUT, "the end of the request", is_finished).await;
 }
 
 /// Requests that arrive together after the signal are all answered; only those behind them have to
@@ -233,8 +235,8 @@
         expected.map(|(status, id)| (status, Some(id.to_owned())))
     );
     assert_eq!(caller.response().await, None);
-    tokio::time::sleep(Duration::from_millis(50)).await;
-    assert_eq!(daemon.edge.in_flight(), 0);
+    let is_finished = || daemon.edge.in_flight() == 0;
+    assert_eventually(RESPONSE_TIMEOUT, "the end of the requests", is_finished).await;
 }
 
 /// A request that no server has run when the process exits is refused as not run, so that its
--- a/crates/corianderworks_edge/tests/support/store.rs
+++ b/crates/corianderworks_edge/tests/support/store.rs
@@ -1,7 +1,7 @@
 //! In-memory fake of the platform's store with fault injection.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// Time after which the store closes a connection on which it doesn't respond.
+const HANG_TIME: Duration = Duration::from_secs(60);
+
 /// How the store responds to calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -166,10 +169,7 @@
         state.history_from = state.revision;
     }
 
-    async fn handle_call(
-        self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn handle_call(self, request: Request<Incoming>) -> io::Result<Response<Full<Bytes>>> {
         self.state.lock().calls += 1;
         let response_mode = self.response_modes.borrow().of(kind_and_name(&request).0);
         match response_mode {
@@ -177,23 +177,17 @@
             ResponseMode::Unavailable => {
                 return Ok(response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null));
             }
-            ResponseMode::CloseConnection => return self.close_after(Duration::ZERO).await,
-            ResponseMode::Hang => return self.close_after(Duration::from_secs(60)).await,
+            ResponseMode::CloseConnection => return Err(closed()),
+            ResponseMode::Hang => return close_after_hanging().await,
             ResponseMode::DropResponse => {
-                self.execute(request).await;
-                return self.close_after(Duration::from_secs(60)).await;
+                self.execute(request).await?;
+                return close_after_hanging().await;
             }
         }
-        Ok(self.execute(request).await)
-    }
-
-    /// Panics after the delay, which makes hyper close the connection without a response.
-    async fn close_after(&self, delay: Duration) -> Result<Response<Full<Bytes>>, Infallible> {
-        tokio::time::sleep(delay).await;
-        panic!("the fake store closes a connection");
+        self.execute(request).await
     }
 
-    async fn execute(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn execute(&self, request: Request<Incoming>) -> io::Result<Response<Full<Bytes>>> {
         let (kind, name) = kind_and_name(&request);
         let (kind, name) = (kind.to_owned(), name.map(str::to_owned));
         let (kind, name) = (kind.as_str(), name.as_deref());
@@ -203,16 +197,16 @@
             let mut found = pairs.filter(|(n, _)| *n == field);
             found.next().and_then(|(_, v)| v.parse().ok())
         };
-        match (request.method().clone(), name) {
+        let response = match (request.method().clone(), name) {
             (Method::GET, None) => match (query_number("watch"), query_number("waitMs")) {
-                (Some(from), Some(wait_ms)) => self.watch(kind, from, wait_ms).await,
+                (Some(from), Some(wait_ms)) => self.watch(kind, from, wait_ms).await?,
                 _ => self.list(kind),
             },
             (Method::POST | Method::PUT, name) => {
                 let name = name.map(str::to_owned);
                 let kind = kind.to_owned();
                 let Ok(body) = request.into_body().collect().await else {
-                    return response(StatusCode::BAD_REQUEST, &Value::Null);
+                    return Ok(response(StatusCode::BAD_REQUEST, &Value::Null));
                 };
                 let body: Value = serde_json::from_slice(&body.to_bytes()).expect("JSON");
                 let is_create = name.is_none();
@@ -233,7 +227,7 @@
                     } else {
                         StatusCode::NOT_FOUND
                     };
-                    return response(status, &Value::Null);
+                    return Ok(response(status, &Value::Null));
                 }
                 self.put(&kind, &name, body["spec"].clone(), Value::Null);
                 response(StatusCode::OK, &Value::Null)
@@ -251,7 +245,8 @@
                 }
             }
             _ => response(StatusCode::NOT_FOUND, &Value::Null),
-        }
+        };
+        Ok(response)
     }
 
     /// Returns the sorted names of the objects of a kind.
@@ -275,7 +270,12 @@
         )
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait_ms: u64) -> Response<Full<Bytes>> {
+    async fn watch(
+        &self,
+        kind: &str,
+        from: u64,
+        wait_ms: u64,
+    ) -> io::Result<Response<Full<Bytes>>> {
         let mut changed = self.changed.subscribe();
         let mut response_modes = self.response_modes.subscribe();
         let deadline = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
@@ -283,7 +283,7 @@
             {
                 let state = self.state.lock();
                 if from < state.history_from {
-                    return response(StatusCode::GONE, &Value::Null);
+                    return Ok(response(StatusCode::GONE, &Value::Null));
                 }
                 let events: Vec<_> = state
                     .events
@@ -292,17 +292,17 @@
                     .map(|(_, _, e)| e)
                     .collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                    return response(
+                    return Ok(response(
                         StatusCode::OK,
                         &json!({"events": events, "currentRev": state.revision}),
-                    );
+                    ));
                 }
             }
             tokio::select! {
                 _ = changed.changed() => {}
                 mode = wait_for_disruption(&mut response_modes, kind) => match mode {
-                    ResponseMode::CloseConnection => panic!("the fake store closes a connection"),
-                    _ => tokio::time::sleep(Duration::from_secs(60)).await,
+                    ResponseMode::CloseConnection => return Err(closed()),
+                    _ => return close_after_hanging().await,
                 },
                 () = tokio::time::sleep_until(deadline) => {}
             }
@@ -310,6 +310,19 @@
     }
 }
 
+/// Returns an error on which hyper closes the connection without a response.
+///
+/// A panic would close it as well, but with `RUST_BACKTRACE` set each one takes so long to print
+/// that it delays the daemons of the test.
+fn closed() -> io::Error {
+    io::Error::other("the fake store closes a connection")
+}
+
+async fn close_after_hanging<T>() -> io::Result<T> {
+    tokio::time::sleep(HANG_TIME).await;
+    Err(closed())
+}
+
 /// Returns the kind of object that a call is for, and the name of the object if there is one.
 fn kind_and_name(request: &Request<Incoming>) -> (&str, Option<&str>) {
     let path = request.uri().path().trim_start_matches("/v1/objects/");
