Tests: give requests time in the set-up that all load tests share

Change: the time is in support::settings; tests that need a shorter one still set it. No check changed.

Of these tests only each_violation_is_detected and attempts_share_the_body_of_a_request were ever seen to fail.

--- a/crates/corianderworks_load/tests/support/mod.rs
+++ b/crates/corianderworks_load/tests/support/mod.rs
@@ -262,6 +262,9 @@
     vec![Weighted { value, weight: 1 }]
 }
 
+/// Time for each request, far more than one takes on a busy machine.
+const REQUEST_TIME_MS: u64 = 60_000;
+
 /// Settings of a run of 200 ms with one method and one response size.
 pub fn settings(daemons: Vec<SocketAddr>, http_method: HttpMethod, size: u64) -> LoadSettings {
     LoadSettings {
@@ -282,6 +285,10 @@
         settle_ms: 0,
         progress_ms: 0,
         backoff_ms: 1,
+        // The fake daemons don't recognise a repeated request. A caller on a busy machine would
+        // repeat one that is only late, and a correct daemon run it twice.
+        try_ms: REQUEST_TIME_MS,
+        deadline_ms: REQUEST_TIME_MS,
         ..LoadSettings::default()
     }
 }
