Check the keys of organisations and keep them from backend servers

Cause: the adapter did not decode organisations, and the daemon forwarded the caller's Authorization header like any other.

Requests without a valid key get 401 unless the route is public. The headers Authorization and Tenant-Name of callers are not forwarded, and Tenant-Name is set to the holder of the key. Without organisations in the configuration, all headers are forwarded as before.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -1,13 +1,14 @@
 //! Decision logic of an edge daemon: routing, load balancing, retries and admission.
 //!
-//! An edge daemon forwards requests without plans or idempotency keys. These modules take the
-//! time as an argument and do no I/O.
+//! An edge daemon forwards requests without idempotency keys. These modules take the time as an
+//! argument and do no I/O.
 
 pub mod admission;
 pub mod attempts;
 pub mod budget;
 pub mod fleet;
 pub mod load_balancer;
+pub mod organisations;
 pub mod peer_load;
 pub mod routes;
 pub mod servers;
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::organisations::Organisations;
+
 /// Version of a configuration; higher numbers are newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConfigVersion(pub u64);
@@ -43,6 +45,8 @@
     pub priority: u32,
     /// Maximum number of backend servers that one request may be sent to.
     pub attempts_max: u32,
+    /// Whether its requests need no key of an organisation.
+    pub is_public: bool,
     /// Services that share the route's traffic. Empty if the route is malformed and its requests
     /// are refused.
     pub split: Vec<WeightedService>,
@@ -60,6 +64,7 @@
             latency_objective: Duration::ZERO,
             priority: 0,
             attempts_max: 1,
+            is_public: false,
             split: Vec::new(),
         }
     }
@@ -117,7 +122,7 @@
 }
 
 /// A complete configuration, which is replaced as a whole by newer versions.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Configuration {
     /// Version that decides which of two configurations is newer.
     pub version: ConfigVersion,
@@ -125,6 +130,8 @@
     pub limits: CallerLimits,
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceSettings>,
+    /// Organisations that may send requests; `None` if requests need no keys.
+    pub organisations: Option<Organisations>,
     hosts: HashMap<String, Vec<Arc<Route>>>,
     route_names: HashSet<Arc<str>>,
 }
@@ -150,11 +157,19 @@
             version,
             limits,
             services,
+            organisations: None,
             hosts: by_host,
             route_names,
         }
     }
 
+    /// Restricts the configuration to requests with keys of these organisations, except on public
+    /// routes.
+    pub fn with_organisations(mut self, organisations: Organisations) -> Self {
+        self.organisations = Some(organisations);
+        self
+    }
+
     /// Returns the route of a host with the longest prefix of `path`. Ignores a port in `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = strip_port(host).to_ascii_lowercase();
--- a/crates/corianderworks_decision/tests/edge_routes.rs
+++ b/crates/corianderworks_decision/tests/edge_routes.rs
@@ -17,6 +17,7 @@
         latency_objective: Duration::from_secs(1),
         priority: 1,
         attempts_max: 2,
+        is_public: false,
         split: split
             .iter()
             .map(|(service, weight)| WeightedService {
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::admission::retry_after;
-use corianderworks_decision::edge::routes::{ConfigVersion, Route};
+use corianderworks_decision::edge::organisations::CallerIdentity;
+use corianderworks_decision::edge::routes::{ConfigVersion, Configuration, Route};
 use corianderworks_platform::headers;
 use rand::Rng;
 use tokio::time::Instant;
@@ -46,6 +47,9 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) version: ConfigVersion,
+    pub(crate) caller: CallerIdentity,
+    /// Priority of the caller's organisation or else of the route; 0 is the highest.
+    pub(crate) priority: u32,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
 }
@@ -176,6 +180,10 @@
         route = run.map(|r| &*r.routing().route.name),
         service = run.map(|r| &*r.routing().service),
         configuration = run.map(|r| r.routing().version.0),
+        priority = run.map(|r| r.routing().priority),
+        organisation = run
+            .and_then(|r| r.routing().caller.organisation())
+            .map(|o| &*o.name),
         servers = run.map(RequestRun::attempt_history),
         reason = outcome.reason.name(),
         status,
@@ -199,6 +207,7 @@
     let route = configuration
         .route(host, head.path())
         .ok_or(Reason::NoRoute)?;
+    let caller = identify_caller(&configuration, route, head)?;
     let service = route
         .select_service(rand::rng().random())
         .ok_or(Reason::MalformedRoute)?;
@@ -220,6 +229,33 @@
         route: route.clone(),
         service: service.clone(),
         version: configuration.version,
+        priority: priority(&caller, route),
+        caller,
         deadline,
     })
 }
+
+/// Determines whom a request comes from. A request with several keys is treated like one with a
+/// malformed key, because other components might read another one of them.
+fn identify_caller(
+    configuration: &Configuration,
+    route: &Route,
+    head: &RequestHead,
+) -> Result<CallerIdentity, Reason> {
+    let Some(organisations) = &configuration.organisations else {
+        return Ok(CallerIdentity::NotUsed);
+    };
+    let mut values = head.headers.values(headers::AUTHORIZATION);
+    let key = match (values.next(), values.next()) {
+        (Some(value), None) => headers::organisation_key(value),
+        _ => None,
+    };
+    let identified = organisations.identify(key, route.is_public);
+    identified.map_err(|_| Reason::UnknownKey)
+}
+
+fn priority(caller: &CallerIdentity, route: &Route) -> u32 {
+    let organisation = caller.organisation();
+    let own_priority = organisation.and_then(|organisation| organisation.priority);
+    own_priority.unwrap_or(route.priority)
+}
--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -87,7 +87,8 @@
         })
     }
 
-    fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+    /// Returns the values of all headers of a name in the order received; `name` is in lower case.
+    pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.0
             .iter()
             .filter(move |h| h.name == name.as_bytes())
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -16,6 +16,8 @@
     NoRoute,
     /// The route is malformed in the configuration.
     MalformedRoute,
+    /// The request's key is missing, malformed or held by no organisation.
+    UnknownKey,
     /// The service has no backend server that accepts requests.
     NoServer,
     /// All backend servers of the service that are not leaving asked for a pause.
@@ -57,6 +59,7 @@
             Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
             Self::MalformedRoute => "malformed-route",
+            Self::UnknownKey => "unknown-key",
             Self::NoServer => "no-server",
             Self::ServersPaused => "servers-paused",
             Self::NoCapacity => "no-capacity",
@@ -85,6 +88,7 @@
             | Self::NoResponse
             | Self::CallerLeft => (502, "Bad Gateway"),
             Self::NoRoute => (404, "Not Found"),
+            Self::UnknownKey => (401, "Unauthorized"),
             Self::NoConfiguration
             | Self::MalformedRoute
             | Self::NoServer
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -78,6 +78,7 @@
             head: request.head,
             body: request.body,
             request_idempotency: routing.route.idempotency,
+            caller: routing.caller.clone(),
         };
         Self {
             edge,
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
+use corianderworks_decision::edge::organisations::CallerIdentity;
 use corianderworks_decision::edge::routes::Idempotency;
 use corianderworks_platform::headers;
 use parking_lot::Mutex;
@@ -57,6 +58,8 @@
     pub request_id: Option<Bytes>,
     /// Whether the request may run more than once; determines which idle connections are used.
     pub request_idempotency: Idempotency,
+    /// Whom the request comes from; determines which headers of the caller are replaced.
+    pub caller: CallerIdentity,
 }
 
 /// Backend server that a request is sent to.
@@ -368,10 +371,16 @@
         "content-length",
     ];
     for header in head.headers.end_to_end() {
-        if !overridden.iter().any(|name| header.name == name.as_bytes()) {
+        let is_overridden = overridden.iter().any(|name| header.name == name.as_bytes())
+            || (outgoing.caller != CallerIdentity::NotUsed && identifies_caller(&header.name));
+        if !is_overridden {
             put_header(&mut out, &header.name, &header.value);
         }
     }
+    if let Some(organisation) = outgoing.caller.organisation() {
+        let name = organisation.name.as_bytes();
+        put_header(&mut out, headers::ORGANISATION.as_bytes(), name);
+    }
     let time_left_ms = u64::try_from(time_left.as_millis()).unwrap_or(u64::MAX);
     let mut number = itoa::Buffer::new();
     put_header(
@@ -392,6 +401,16 @@
     out.freeze()
 }
 
+/// Whether a header of the caller has a key or the name of an organisation. Some servers don't
+/// distinguish `_` from `-` in the names of headers.
+fn identifies_caller(name: &[u8]) -> bool {
+    let names = [headers::AUTHORIZATION, headers::ORGANISATION];
+    names.iter().any(|expected| {
+        let dashed = name.iter().map(|b| if *b == b'_' { b'-' } else { *b });
+        dashed.eq(expected.bytes())
+    })
+}
+
 enum SendError {
     NothingSent(io::Error),
     ResponseError(ResponseError),
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -323,6 +323,7 @@
         latency_objective: Duration::from_millis(600),
         priority: 1,
         attempts_max: 2,
+        is_public: false,
         split: vec![WeightedService {
             service: "ledger".into(),
             weight: 1,
