Decide until when the keys of a configuration may be used

Cause: a daemon that is partitioned, suspended or fed by a delayed relay goes on using keys that have been withdrawn, for as long as that lasts.

Change: strictRevocation and revocationMs are read from the bounds. A KeyPermission ends 0.9 of revocationMs after the last proof that the configuration is current. A proof is dated by its query, and the time includes suspension (CLOCK_BOOTTIME, through rustix). A request with a key needs a SendPermit, which only a valid permission hands out. Nothing uses it yet.

--- a/crates/corianderworks_decision/src/clock.rs
+++ b/crates/corianderworks_decision/src/clock.rs
@@ -7,6 +7,9 @@
 pub trait Clock: Send + Sync + 'static {
     /// Monotonic time since the process started.
     fn now(&self) -> Duration;
+    /// Monotonic time from an arbitrary start, including the time for which the process or the
+    /// machine was suspended. [`Clock::now`] may leave out that time.
+    fn since_boot(&self) -> Duration;
     /// Wall-clock time, which can jump; for records only.
     fn wall(&self) -> SystemTime;
 }
@@ -37,22 +40,36 @@
         self.start.elapsed()
     }
 
+    fn since_boot(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        // The kernel returns no negative parts.
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::from_secs(seconds) + Duration::from_nanos(nanoseconds)
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
 }
 
-/// Clock for tests that starts at zero and advances only on `advance`.
+/// Clock for tests that starts at zero and advances only on `advance` and `suspend`.
 #[derive(Debug, Default)]
 pub struct ManualClock {
     now: Mutex<Duration>,
+    suspended: Mutex<Duration>,
 }
 
 impl ManualClock {
-    /// Advances the monotonic and the wall-clock time.
+    /// Advances all times.
     pub fn advance(&self, duration: Duration) {
         *self.now.lock().unwrap_or_else(|e| e.into_inner()) += duration;
     }
+
+    /// Advances only the time that includes suspension.
+    pub fn suspend(&self, duration: Duration) {
+        *self.suspended.lock().unwrap_or_else(|e| e.into_inner()) += duration;
+    }
 }
 
 impl Clock for ManualClock {
@@ -60,6 +77,10 @@
         *self.now.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    fn since_boot(&self) -> Duration {
+        self.now() + *self.suspended.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.now()
     }
--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -7,6 +7,7 @@
 pub mod attempts;
 pub mod budget;
 pub mod fleet;
+pub mod key_permission;
 pub mod load_balancer;
 pub mod organisations;
 pub mod peer_load;
