Refuse keys on daemons whose configuration is not known to be current

Cause: a daemon that is partitioned from the store and its peers, was suspended or was restarted next to an outdated relay served withdrawn keys without any limit.

Change: daemons prove to each other with ConfirmConfiguration and ConfigurationConfirmed, sent in datagrams, that their configuration is the latest one. Store calls of the configuration are proofs dated before the call; an object that can't be decoded, is older or differs is none. Without a permission, requests with a key get 503, reason key-check-expired, after their head was read and again before each attempt. Such daemons report WithoutKeyPermission and are named to callers only if no daemon is ready.

--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -101,6 +101,8 @@
     pub relay_targets: Vec<SocketAddr>,
     /// Daemons of other domains.
     pub other_domains: HashSet<SocketAddr>,
+    /// Other daemons that watch the store, if this daemon is a relay.
+    pub watchers: Vec<SocketAddr>,
 }
 
 impl Topology {
@@ -130,6 +132,8 @@
     Ready,
     /// Is stopping.
     Leaving,
+    /// Serves callers without keys only, because nothing proves that its configuration is current.
+    WithoutKeyPermission,
 }
 
 #[derive(Debug, Clone)]
@@ -356,6 +360,10 @@
             relays: candidates.iter().take(relays).map(|m| m.peer).collect(),
             candidates: candidates.iter().map(|m| m.peer).collect(),
             domain_peers: self.domain_peers(now).map(address).collect(),
+            watchers: match relay_position {
+                Some(_) => self.other_watchers(now).into_iter().map(address).collect(),
+                None => Vec::new(),
+            },
             relay_targets: self.relay_targets(now).iter().map(address).collect(),
             other_domains: self
                 .others()
@@ -373,34 +381,61 @@
             .filter(move |m| m.domain == *domain)
     }
 
-    /// Whether this daemon is one of the relays that watch the store. First and second relays
-    /// alternate over the domains, so that changes take two paths.
+    /// Whether this daemon is one of the relays that watch the store.
     pub fn watches_store(&self, now: Duration) -> bool {
-        let Some(position) = self.relay_position(now) else {
-            return false;
-        };
         let domains = self.domains(now);
-        let Some(rank) = domains.iter().position(|d| **d == self.own.domain) else {
-            return false;
-        };
-        if domains.len() < WATCHERS {
-            return true;
+        let rank = domains.iter().position(|d| **d == self.own.domain);
+        rank.is_some_and(|rank| {
+            let watchers = self.watchers_of_domain(&domains, rank, now);
+            watchers.iter().any(|m| m.vm == self.own.vm)
+        })
+    }
+
+    /// Returns the other daemons that watch the store.
+    pub fn other_watchers(&self, now: Duration) -> Vec<&Member> {
+        let domains = self.domains(now);
+        let ranks = 0..domains.len();
+        let watchers = ranks.flat_map(|rank| self.watchers_of_domain(&domains, rank, now));
+        watchers.filter(|m| m.vm != self.own.vm).collect()
+    }
+
+    /// Returns the relays of a domain that watch the store. First and second relays alternate over
+    /// the domains, so that changes take two paths.
+    fn watchers_of_domain(
+        &self,
+        domains: &[&Arc<str>],
+        rank: usize,
+        now: Duration,
+    ) -> Vec<&Member> {
+        if rank >= WATCHERS {
+            return Vec::new();
+        }
+        let mut relays = self.relays(domains[rank], now);
+        if domains.len() >= WATCHERS && !relays.is_empty() {
+            let position = (rank % RELAYS_PER_DOMAIN).min(relays.len() - 1);
+            relays = vec![relays[position]];
         }
-        let relays = self.relays(&self.own.domain, now).len();
-        rank < WATCHERS && position == (rank % RELAYS_PER_DOMAIN).min(relays - 1)
+        relays
     }
 
     /// Returns the addresses of ready daemons for a caller in `domain`: those of its domain, or
-    /// of all domains if its own has too few.
-    pub fn addresses_for(&self, domain: &str, own_ready: bool, now: Duration) -> Vec<SocketAddr> {
-        let ready = |k: &&KnownMember| k.status == DaemonStatus::Ready;
-        let own = own_ready.then_some(&self.own);
-        let members: Vec<_> = self
-            .members_up(now)
-            .filter(ready)
-            .map(|k| &k.member)
-            .chain(own)
-            .collect();
+    /// of all domains if its own has too few. Daemons without permission to use keys are returned
+    /// only if no daemon is ready: they still serve public routes.
+    pub fn addresses_for(
+        &self,
+        domain: &str,
+        own_status: DaemonStatus,
+        now: Duration,
+    ) -> Vec<SocketAddr> {
+        let with_status = |status| {
+            let own = (own_status == status).then_some(&self.own);
+            let others = self.members_up(now).filter(move |k| k.status == status);
+            others.map(|k| &k.member).chain(own).collect::<Vec<_>>()
+        };
+        let mut members = with_status(DaemonStatus::Ready);
+        if members.is_empty() {
+            members = with_status(DaemonStatus::WithoutKeyPermission);
+        }
         let in_domain: Vec<_> = members.iter().filter(|m| &*m.domain == domain).collect();
         let mut addresses: Vec<_> = match in_domain.len() >= DOMAIN_DAEMONS_MIN {
             true => in_domain.iter().map(|m| m.callers).collect(),
--- a/crates/corianderworks_decision/tests/edge_fleet.rs
+++ b/crates/corianderworks_decision/tests/edge_fleet.rs
@@ -109,7 +109,7 @@
         .map(|m| m.vm.to_string())
         .collect();
     assert_eq!(relays, ["a2", "a3"]);
-    assert_eq!(fleet.addresses_for("a", true, now).len(), 2);
+    assert_eq!(fleet.addresses_for("a", DaemonStatus::Ready, now).len(), 2);
     assert!(!fleet.is_up(&member("a1", "a", 1), now));
 }
 
@@ -117,11 +117,16 @@
 fn a_leaving_daemon_is_not_returned_to_callers() {
     let mut fleet = fleet_of("a1", at_ms(0));
     fleet.record_report(member("a2", "a", 1).key(), DaemonStatus::Leaving, at_ms(10));
-    let addresses = fleet.addresses_for("a", true, at_ms(20));
+    let addresses = fleet.addresses_for("a", DaemonStatus::Ready, at_ms(20));
     assert_eq!(addresses.len(), 2);
     assert!(!addresses.contains(&member("a2", "a", 1).callers));
     // For a domain with a single daemon, the daemons of all domains are returned.
-    assert_eq!(fleet.addresses_for("c", true, at_ms(20)).len(), 7);
+    assert_eq!(
+        fleet
+            .addresses_for("c", DaemonStatus::Ready, at_ms(20))
+            .len(),
+        7
+    );
 }
 
 #[test]
@@ -252,3 +257,45 @@
     targets.sort_by(|a, b| a.vm.cmp(&b.vm));
     assert_eq!(names(&targets), ["a2", "a3", "b1", "c1", "d1"]);
 }
+
+/// An outage of the store ends the permission of all daemons. They still serve public routes, so
+/// callers must get addresses.
+#[test]
+fn daemons_without_key_permission_are_named_only_if_no_daemon_is_ready() {
+    let at = at_ms(10);
+    let mut fleet = fleet_of("a1", at);
+    let without = DaemonStatus::WithoutKeyPermission;
+    for (vm, domain) in &MEMBERS[..3] {
+        fleet.record_report(member(vm, domain, 1).key(), without, at);
+    }
+    // All daemons of domain a are without permission, so its callers get the five of the others.
+    assert_eq!(fleet.addresses_for("a", without, at).len(), 5);
+    for (vm, domain) in MEMBERS {
+        fleet.record_report(member(vm, domain, 1).key(), without, at);
+    }
+    assert_eq!(fleet.addresses_for("a", without, at).len(), 3);
+    assert_eq!(fleet.addresses_for("c", without, at).len(), 8);
+    assert_eq!(fleet.addresses_for("a", DaemonStatus::Ready, at).len(), 1);
+}
+
+/// Relays ask the daemons that watch the store, so they have to name the same ones.
+#[test]
+fn relays_know_the_daemons_that_watch_the_store() {
+    let at = at_ms(10);
+    let names = MEMBERS.map(|(vm, _)| vm);
+    let watching: Vec<_> = names
+        .into_iter()
+        .filter(|vm| fleet_of(vm, at).watches_store(at))
+        .collect();
+    assert_eq!(watching.len(), 3);
+    for vm in names {
+        let fleet = fleet_of(vm, at);
+        let watchers = fleet.other_watchers(at).into_iter();
+        let mut watchers: Vec<_> = watchers.map(|m| &*m.vm).collect();
+        watchers.sort();
+        let others = watching.iter().copied().filter(|w| *w != vm);
+        assert_eq!(watchers, others.collect::<Vec<_>>(), "{vm}");
+        let is_relay = fleet.relay_position(at).is_some();
+        assert_eq!(fleet.topology(at).watchers.is_empty(), !is_relay, "{vm}");
+    }
+}
--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use corianderworks_decision::edge::fleet::DaemonStatus;
 use corianderworks_decision::edge::routes::CallerLimits;
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_platform::headers;
@@ -60,7 +61,7 @@
 /// Fails if the socket can't listen.
 pub async fn open_when_ready(edge: Arc<Edge>, socket: TcpSocket) -> io::Result<()> {
     let open_by = Instant::now() + OPEN_DELAY_MAX;
-    while !edge.is_ready() && Instant::now() < open_by {
+    while edge.status() != DaemonStatus::Ready && Instant::now() < open_by {
         sleep(READY_CHECK_INTERVAL).await;
     }
     let listener = socket.listen(LISTEN_BACKLOG)?;
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use corianderworks_decision::edge::admission::retry_after;
 use corianderworks_decision::edge::organisations::CallerIdentity;
-use corianderworks_decision::edge::routes::{ConfigVersion, Configuration, Route};
+use corianderworks_decision::edge::routes::{ConfigVersion, Route};
 use corianderworks_platform::headers;
 use rand::Rng;
 use tokio::time::Instant;
 
 use crate::http1::RequestHead;
+use crate::key_check;
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::run::RequestRun;
@@ -96,7 +97,7 @@
 pub(crate) fn reply_without_attempt(reason: Reason, request_id: Option<Bytes>) -> Reply {
     let is_temporary = matches!(
         reason,
-        Reason::NoConfiguration | Reason::Stopping | Reason::BodyMemory
+        Reason::NoConfiguration | Reason::KeyCheckExpired | Reason::Stopping | Reason::BodyMemory
     );
     Reply::Local {
         reason,
@@ -201,13 +202,14 @@
 /// Determines the route, the service and the deadline of a request, and counts the request for the
 /// retry budget of the service.
 fn routing(edge: &Edge, request: &CallerRequest) -> Result<Routing, Reason> {
-    let configuration = edge.configuration().ok_or(Reason::NoConfiguration)?;
+    let checked = key_check::configuration(edge).ok_or(Reason::NoConfiguration)?;
+    let configuration = &checked.configuration;
     let head = &request.head;
     let host = head.headers.text("host").ok_or(Reason::Malformed)?;
     let route = configuration
         .route(host, head.path())
         .ok_or(Reason::NoRoute)?;
-    let caller = identify_caller(&configuration, route, head)?;
+    let caller = checked.identify(route, head)?;
     let service = route
         .select_service(rand::rng().random())
         .ok_or(Reason::MalformedRoute)?;
@@ -235,25 +237,6 @@
     })
 }
 
-/// Determines whom a request comes from. A request with several keys is treated like one with a
-/// malformed key, because other components might read another one of them.
-fn identify_caller(
-    configuration: &Configuration,
-    route: &Route,
-    head: &RequestHead,
-) -> Result<CallerIdentity, Reason> {
-    let Some(organisations) = &configuration.organisations else {
-        return Ok(CallerIdentity::NotUsed);
-    };
-    let mut values = head.headers.values(headers::AUTHORIZATION);
-    let key = match (values.next(), values.next()) {
-        (Some(value), None) => headers::organisation_key(value),
-        _ => None,
-    };
-    let identified = organisations.identify(key, route.is_public);
-    identified.map_err(|_| Reason::UnknownKey)
-}
-
 fn priority(caller: &CallerIdentity, route: &Route) -> u32 {
     let organisation = caller.organisation();
     let own_priority = organisation.and_then(|organisation| organisation.priority);
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod forward;
 pub mod http1;
+pub mod key_check;
 pub mod local_http;
 pub mod logs;
 pub mod metrics;
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -7,11 +7,14 @@
 
 use bytes::Bytes;
 use corianderworks_decision::edge::fleet::{Fleet, HEARTBEAT_INTERVAL, Member, RunKey, Topology};
+use corianderworks_decision::edge::key_permission::{ConfigurationId, Confirmation};
 use corianderworks_decision::edge::peer_load::{Report, batch_delay, relay_delay, report_delay};
+use corianderworks_decision::edge::routes::ConfigVersion;
 use corianderworks_platform::configuration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
+use crate::key_check::{self, KeyChecks};
 use crate::peers::{Incoming, Message, Peers, StoreUpdate, store_messages};
 use crate::report_datagrams::{encode, split};
 use crate::reports::ReportResult;
@@ -49,6 +52,7 @@
         last_attempts: HashMap::new(),
         first_targeted: HashMap::new(),
         silent: Vec::new(),
+        key_checks: KeyChecks::default(),
     };
     peer_sync.run(incoming).await;
 }
@@ -78,6 +82,7 @@
     first_targeted: HashMap<SocketAddr, Instant>,
     /// Daemons that were silent at the last heartbeat.
     silent: Vec<RunKey>,
+    key_checks: KeyChecks,
 }
 
 /// Reports that a relay collects before it sends them on.
@@ -135,6 +140,7 @@
         let now = Instant::now();
         if now >= self.topology_due {
             self.update_topology();
+            self.check_keys();
         }
         if now >= self.heartbeat_due {
             self.heartbeat_due = now + HEARTBEAT_INTERVAL;
@@ -154,6 +160,12 @@
         self.send_reports(&self.topology.relay_targets, &reports);
     }
 
+    /// Sends the queries that are due for the permission to use keys.
+    fn check_keys(&mut self) {
+        self.key_checks
+            .run_due(&self.edge, &self.peers, &self.topology);
+    }
+
     fn update_topology(&mut self) {
         self.topology_due = Instant::now() + TOPOLOGY_INTERVAL;
         self.topology = self.edge.lock_state().fleet.topology(self.edge.clock.now());
@@ -220,7 +232,10 @@
 
     fn handle_incoming(&mut self, received: Incoming) {
         match received {
-            Incoming::Connected(to) => self.send_hello(to),
+            Incoming::Connected(to) => {
+                self.send_hello(to);
+                self.check_keys();
+            }
             Incoming::Configuration(from, bytes) => self.handle_configuration(from, bytes),
             Incoming::Message(from, message) => self.handle_message(from, message),
         }
@@ -258,6 +273,24 @@
             Message::MembersRequest => self.send_members(from),
             Message::Reports(reports) => self.handle_reports(from, reports),
             Message::Store(update) => self.handle_store_update(from, update),
+            Message::ConfirmConfiguration { sequence } => {
+                key_check::respond(&self.edge, &self.peers, from, sequence);
+            }
+            Message::ConfigurationConfirmed {
+                sequence,
+                version,
+                digest,
+                age_ms,
+            } => {
+                let configuration = ConfigurationId {
+                    version: ConfigVersion(version),
+                    digest,
+                };
+                let age = Duration::from_millis(age_ms.into());
+                let confirmation = Confirmation { configuration, age };
+                let mut state = self.edge.lock_state();
+                state.key_permission.confirm(sequence, confirmation);
+            }
             // The stream reader reassembles the parts.
             Message::ConfigurationPart { .. } => {}
         }
@@ -381,7 +414,7 @@
         }
     }
 
-    fn handle_configuration(&self, from: SocketAddr, bytes: Bytes) {
+    fn handle_configuration(&mut self, from: SocketAddr, bytes: Bytes) {
         let decoded = match configuration::decode_spec(&bytes) {
             Ok(decoded) => decoded,
             Err(error) => {
@@ -393,6 +426,7 @@
             self.edge
                 .install_configuration(Arc::new(decoded), Some(bytes.clone()), "peer");
         if is_new {
+            self.check_keys();
             let configuration = Some(bytes);
             self.send_store_update(
                 from,
@@ -456,16 +490,27 @@
         self.silent = silent.to_vec();
     }
 
+    /// Returns the daemons to which a relay needs connections for key checks only.
+    fn key_check_targets(&self, now: Duration) -> Vec<Member> {
+        let state = self.edge.lock_state();
+        if self.topology.relay_position.is_none() || !state.key_permission.is_active() {
+            return Vec::new();
+        }
+        let watchers = state.fleet.other_watchers(now);
+        watchers.into_iter().cloned().collect()
+    }
+
     /// Connects to the link targets that have no connection yet.
     fn connect_to_targets(&mut self) {
         let edge_now = self.edge.clock.now();
-        let (own, link_targets) = {
+        let (own, mut link_targets) = {
             let state = self.edge.lock_state();
             (
                 state.fleet.own().clone(),
                 state.fleet.link_targets(edge_now),
             )
         };
+        link_targets.extend(self.key_check_targets(edge_now));
         let now = Instant::now();
         for member in link_targets
             .iter()
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -92,7 +92,7 @@
     Members(Vec<Member>),
     /// Asks for all members that the receiver knows.
     MembersRequest,
-    /// Reports; the only message that is sent in a datagram.
+    /// Reports; sent in a datagram, like the queries for a configuration.
     Reports(Vec<Report>),
     /// Changes of the store. A configuration is sent in parts instead.
     Store(StoreUpdate),
@@ -103,6 +103,24 @@
         /// Whether it is the last part.
         last: bool,
     },
+    /// Asks which configuration the receiver has and when it was last known to be current. Sent in a
+    /// datagram; there is no response if the receiver doesn't know.
+    ConfirmConfiguration {
+        /// Number that the response repeats.
+        sequence: u32,
+    },
+    /// Response to [`Message::ConfirmConfiguration`].
+    ConfigurationConfirmed {
+        /// Number of the query.
+        sequence: u32,
+        /// Version of the configuration in force at the sender.
+        version: u64,
+        /// Hash of its encoded form.
+        digest: u64,
+        /// Time since it was last known to be the latest one of the store, in milliseconds; rounded
+        /// up.
+        age_ms: u32,
+    },
 }
 
 /// Events on the connections to other daemons.
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -18,6 +18,8 @@
     MalformedRoute,
     /// The request's key is missing, malformed or held by no organisation.
     UnknownKey,
+    /// Nothing proves that the daemon's configuration is current, so the key may be withdrawn.
+    KeyCheckExpired,
     /// The service has no backend server that accepts requests.
     NoServer,
     /// All backend servers of the service that are not leaving asked for a pause.
@@ -60,6 +62,7 @@
             Self::NoRoute => "no-route",
             Self::MalformedRoute => "malformed-route",
             Self::UnknownKey => "unknown-key",
+            Self::KeyCheckExpired => "key-check-expired",
             Self::NoServer => "no-server",
             Self::ServersPaused => "servers-paused",
             Self::NoCapacity => "no-capacity",
@@ -91,6 +94,7 @@
             Self::UnknownKey => (401, "Unauthorized"),
             Self::NoConfiguration
             | Self::MalformedRoute
+            | Self::KeyCheckExpired
             | Self::NoServer
             | Self::ServersPaused
             | Self::NoCapacity
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corianderworks_decision::edge::fleet::{DaemonStatus, RunKey};
+use corianderworks_decision::edge::fleet::RunKey;
 use corianderworks_decision::edge::load_balancer::Evidence;
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
 use corianderworks_decision::edge::servers::ServerEntry;
 
 use crate::peers::StoreUpdate;
-use crate::state::{Edge, EdgeState, Lifecycle, PendingReport};
+use crate::state::{Edge, EdgeState, PendingReport};
 
 /// What became of a report.
 pub enum ReportResult {
@@ -28,11 +28,7 @@
     /// Builds a report of the changes since the last one, or of the complete load, and clears
     /// the changes.
     pub fn take_report(&self, sequence: u32, complete: bool) -> Report {
-        let status = match self.lifecycle() {
-            Lifecycle::Stopping(_) => DaemonStatus::Leaving,
-            Lifecycle::Serving if self.is_ready() => DaemonStatus::Ready,
-            Lifecycle::Serving => DaemonStatus::NotReady,
-        };
+        let status = self.status();
         let mut state = self.lock_state();
         state.fleet.set_own_status(status);
         let PendingReport {
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -7,7 +7,9 @@
 use corianderworks_decision::edge::attempts::{
     AttemptEnd, AttemptState, NextStep, REFUSED_RETRY_DELAY, next_step,
 };
+use corianderworks_decision::edge::key_permission::SendPermit;
 use corianderworks_decision::edge::load_balancer::{Candidates, Choice, Evidence};
+use corianderworks_decision::edge::organisations::CallerIdentity;
 use corianderworks_decision::edge::routes::Idempotency;
 use corianderworks_decision::edge::servers::ServerKey;
 use corianderworks_decision::edge::shutdown::Phase;
@@ -16,6 +18,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::forward::{CallerRequest, Outcome, RETRY_AFTER_BASE, Routing, jitter};
+use crate::key_check::{self, KeyDecision};
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::state::{Edge, Lifecycle};
@@ -64,6 +67,8 @@
     /// Whether a server may have run the request.
     may_have_run: bool,
     attempt_history: Vec<String>,
+    /// Why the last attempt may not use the key of the request.
+    key_refusal: Option<Reason>,
 }
 
 enum Step {
@@ -96,6 +101,7 @@
             last_end: None,
             may_have_run: false,
             attempt_history: Vec::new(),
+            key_refusal: None,
         }
     }
 
@@ -117,7 +123,10 @@
             }
         }
         if let Some((choice, target)) = first {
-            self.start(choice, target);
+            match self.permit() {
+                Some(permit) => self.start(permit, choice, target),
+                None => return self.give_up(AttemptEnd::NotSent),
+            }
         }
         let mut life = self.edge.subscribe_lifecycle();
         loop {
@@ -178,7 +187,24 @@
             .saturating_duration_since(Instant::now())
     }
 
-    fn start(&mut self, choice: Choice, target: Target) {
+    /// Checks again that the request may be sent with its key, before each attempt. A request on a
+    /// public route is sent without a key that can't be checked.
+    fn permit(&mut self) -> Option<SendPermit> {
+        match key_check::decide(&self.edge, &self.routing, &self.outgoing.head) {
+            KeyDecision::Send(permit) => Some(permit),
+            KeyDecision::SendWithoutKey(permit) => {
+                Arc::make_mut(&mut self.outgoing).caller = CallerIdentity::Anonymous;
+                Some(permit)
+            }
+            KeyDecision::Refuse(reason) => {
+                self.key_refusal = Some(reason);
+                self.attempt_history.push(format!("({})", reason.name()));
+                None
+            }
+        }
+    }
+
+    fn start(&mut self, permit: SendPermit, choice: Choice, target: Target) {
         let guard = self.edge.start_attempt(choice.key);
         let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
         let remaining = self.remaining();
@@ -203,7 +229,7 @@
         self.attempts.spawn(async move {
             let exchange = edge
                 .pool
-                .exchange(&outgoing, &target, remaining, reuse)
+                .exchange(permit, &outgoing, &target, remaining, reuse)
                 .await;
             drop(guard);
             EndedAttempt {
@@ -221,6 +247,9 @@
         let Some((choice, target)) = self.choose(Candidates::Except(&self.tried_servers)) else {
             return false;
         };
+        let Some(permit) = self.permit() else {
+            return false;
+        };
         let now = self.edge.clock.now();
         if !exempt_from_budget
             && !self
@@ -233,7 +262,7 @@
                 .push("(no budget for another attempt)".to_owned());
             return false;
         }
-        self.start(choice, target);
+        self.start(permit, choice, target);
         true
     }
 
@@ -241,12 +270,15 @@
     /// is used up.
     fn retry_refused(&mut self) -> Step {
         self.retry_refused_at = None;
+        let Some(permit) = self.permit() else {
+            return Step::End(Box::new(self.give_up(AttemptEnd::NotRun)));
+        };
         let now = self.edge.clock.now();
         let chosen = self.choose(Candidates::Only(&self.refused_by));
         let within_budget = |service: &str| self.edge.lock_state().budget.try_acquire(service, now);
         match chosen {
             Some((choice, target)) if within_budget(&self.routing.service) => {
-                self.start(choice, target);
+                self.start(permit, choice, target);
                 Step::Continue
             }
             _ => Step::End(Box::new(self.give_up(AttemptEnd::NotRun))),
@@ -363,6 +395,9 @@
             return Step::Continue;
         }
         let no_other_server = step == NextStep::TryAnotherServer && end == AttemptEnd::NotRun;
+        if self.key_refusal.is_some() {
+            return Step::End(Box::new(self.give_up(end)));
+        }
         if step == NextStep::RetryRefused || no_other_server {
             self.retry_refused_at = Some(Instant::now() + REFUSED_RETRY_DELAY);
             return Step::Continue;
@@ -378,6 +413,14 @@
         if self.may_have_run {
             return self.fail(Reason::NoResponse);
         }
+        match self.key_refusal {
+            Some(Reason::KeyCheckExpired) => {
+                let wait = retry_after(RETRY_AFTER_BASE, jitter());
+                return self.refuse(Reason::KeyCheckExpired, wait);
+            }
+            Some(reason) => return self.fail(reason),
+            None => {}
+        }
         let reason = match end {
             AttemptEnd::NotSent => Reason::Unreachable,
             _ => Reason::ServersFull,
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -7,12 +7,15 @@
 use bytes::Bytes;
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::edge::budget::RetryBudget;
-use corianderworks_decision::edge::fleet::{Fleet, Member};
+use corianderworks_decision::edge::fleet::{DaemonStatus, Fleet, Member};
+use corianderworks_decision::edge::key_permission::{ConfigurationId, KeyPermission};
 use corianderworks_decision::edge::load_balancer::{
     Candidates, Choice, Evidence, LoadBalancer, Query,
 };
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
-use corianderworks_decision::edge::routes::{Configuration, Idempotency, Route, replace_if_newer};
+use corianderworks_decision::edge::routes::{
+    ConfigVersion, Configuration, Idempotency, Route, replace_if_newer,
+};
 use corianderworks_decision::edge::servers::{
     Announcement, Change, ServerEntry, ServerKey, Servers,
 };
@@ -60,6 +63,8 @@
     pub reported_store_view: ReportedStoreView,
     /// Current configuration, encoded as in the store.
     pub configuration_bytes: Option<Bytes>,
+    /// Permission to use the keys of the configuration.
+    pub key_permission: KeyPermission,
     /// Whether the registered daemons were read from the store.
     pub knows_registered_members: bool,
     /// Daemons that count as removed but may still have a record in the store.
@@ -199,6 +204,7 @@
             pending_report: PendingReport::default(),
             reported_store_view: ReportedStoreView::default(),
             configuration_bytes: None,
+            key_permission: KeyPermission::new(settings.key_revocation, rand::rng().random()),
             knows_registered_members: false,
             removed_members: Vec::new(),
         };
@@ -268,13 +274,30 @@
             && admits(since_signal, self.settings.grace_period, time_limit)
     }
 
-    /// Whether callers should be directed to this daemon: it isn't stopping and has a
-    /// configuration and backend servers.
-    pub fn is_ready(&self) -> bool {
+    /// Returns the status that this daemon reports to the others, which decides whether callers are
+    /// directed to it.
+    pub fn status(&self) -> DaemonStatus {
+        if self.lifecycle() != Lifecycle::Serving {
+            return DaemonStatus::Leaving;
+        }
         let state = self.lock_state();
-        self.lifecycle() == Lifecycle::Serving
-            && state.configuration.is_some()
-            && !state.servers.is_empty()
+        if state.configuration.is_none() || state.servers.is_empty() {
+            return DaemonStatus::NotReady;
+        }
+        match state.key_permission.is_valid(self.clock.since_boot()) {
+            true => DaemonStatus::Ready,
+            false => DaemonStatus::WithoutKeyPermission,
+        }
+    }
+
+    /// Whether this daemon serves callers: it isn't stopping and has a configuration and backend
+    /// servers. Without permission to use keys it still serves public routes, and an outage of the
+    /// store must not make all VMs unready at the platform.
+    pub fn is_ready(&self) -> bool {
+        matches!(
+            self.status(),
+            DaemonStatus::Ready | DaemonStatus::WithoutKeyPermission
+        )
     }
 
     /// Replaces the current configuration if `configuration` is newer, and returns whether it is.
@@ -291,6 +314,14 @@
         if !replace_if_newer(&mut state.configuration, configuration) {
             return false;
         }
+        let id = ConfigurationId::new(ConfigVersion(version), bytes.as_deref().unwrap_or_default());
+        let uses_keys = state
+            .configuration
+            .as_ref()
+            .is_some_and(|c| c.organisations.is_some());
+        state
+            .key_permission
+            .set_configuration(id, uses_keys, self.clock.since_boot());
         state.configuration_bytes = bytes;
         let EdgeState {
             configuration,
@@ -506,8 +537,8 @@
 
     /// Returns the addresses of ready daemons for a caller in `domain`.
     pub fn addresses_for(&self, domain: &str) -> Vec<std::net::SocketAddr> {
-        let (ready, now) = (self.is_ready(), self.clock.now());
-        self.lock_state().fleet.addresses_for(domain, ready, now)
+        let (status, now) = (self.status(), self.clock.now());
+        self.lock_state().fleet.addresses_for(domain, status, now)
     }
 
     /// Returns the peer addresses of the daemons to which a daemon that watches the store sends
@@ -552,6 +583,11 @@
             let server_use = state.load_balancer.server_use(&state.servers, service, now);
             self.metrics.set_server_use(service, server_use);
         }
+        if let Some(left) = state.key_permission.remaining(self.clock.since_boot()) {
+            let left_ms = left.as_millis() as u64;
+            self.metrics
+                .set_gauge("key_permission_remaining_ms", left_ms);
+        }
         drop(state);
         self.metrics.prometheus_text()
     }
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use corianderworks_decision::edge::key_permission::{ConfigurationId, Proof};
 use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_platform::store::{ObjectEvent, StoreClient, StoreError, StoredObject};
 use corianderworks_platform::{configuration, servers};
 use rand::Rng;
 use tokio::time::{Instant, sleep};
 
+use crate::key_check;
 use crate::peers::{Peers, StoreUpdate, store_messages};
 use crate::state::{Edge, EntryRemoval};
 
@@ -89,6 +91,11 @@
     /// When the store is read because the own view differs from the reported one; `None` if it
     /// doesn't.
     mismatch_read_at: Option<Instant>,
+    /// Configuration that the store holds as of `revision`; `None` if it has none that can be decoded,
+    /// or if it isn't known.
+    stored_configuration: Option<ConfigurationId>,
+    /// Stored configuration that was logged because another one is in force.
+    logged_mismatch: Option<ConfigurationId>,
     /// Revision of each object that could not be decoded. Each revision is logged once.
     undecodable_revisions: HashMap<String, u64>,
 }
@@ -109,6 +116,8 @@
             retry_delay: RETRY_DELAY_MIN,
             revision: None,
             mismatch_read_at: None,
+            stored_configuration: None,
+            logged_mismatch: None,
             undecodable_revisions: HashMap::new(),
         }
     }
@@ -184,6 +193,9 @@
         // Changes sent by peers don't update the revision, so a later watch can't continue from it.
         self.revision = None;
         sleep(COMPARE_INTERVAL).await;
+        if self.is_key_check_due() {
+            return self.list().await;
+        }
         if !self.has_mismatch() {
             self.mismatch_read_at = None;
             return;
@@ -202,6 +214,38 @@
         }
     }
 
+    /// Whether the configuration has to be read because peers supply no proof that it is current.
+    fn is_key_check_due(&self) -> bool {
+        let is_configuration = self.object_kind == ObjectKind::Configuration;
+        is_configuration && key_check::take_store_read(&self.edge)
+    }
+
+    /// Records that the stored configuration was the latest one when a call was sent. That proves
+    /// nothing if another one is in force, or if the stored one can't be decoded.
+    fn record_proof(&mut self, called_at: Duration) {
+        let Some(configuration) = self.stored_configuration else {
+            return;
+        };
+        let proof = Proof {
+            configuration,
+            queried_at: called_at,
+            age: Duration::ZERO,
+        };
+        let mut state = self.edge.lock_state();
+        let is_in_force = state.key_permission.record(proof);
+        let is_relevant = !is_in_force && state.key_permission.is_active();
+        if is_relevant && self.logged_mismatch != Some(configuration) {
+            let in_force = state.configuration_version();
+            let stored = configuration.version.0;
+            tracing::warn!(
+                stored,
+                in_force,
+                "configuration: the store has one that is not in force"
+            );
+            self.logged_mismatch = Some(configuration);
+        }
+    }
+
     fn has_mismatch(&self) -> bool {
         let state = self.edge.lock_state();
         let reported = &state.reported_store_view;
@@ -216,6 +260,7 @@
     }
 
     async fn list(&mut self) {
+        let called_at = self.edge.clock.since_boot();
         match self.store.list(self.object_kind.as_str()).await {
             Ok(listing) => {
                 self.handle_success();
@@ -223,14 +268,25 @@
                 let update = self.apply_list(&listing.objects, listing.revision);
                 self.send_if_watcher(&update);
                 self.revision = Some(listing.revision);
+                self.record_proof(called_at);
                 self.report_store_view();
             }
             Err(error) => self.handle_failure(&error).await,
         }
     }
 
-    async fn watch(&mut self, revision: u64) {
+    fn watch_timeout(&self) -> Duration {
         let timeout = self.share_of_apply_timeout(WATCH_TIMEOUT_SHARE);
+        let max = match self.object_kind {
+            ObjectKind::Configuration => self.edge.lock_state().key_permission.watch_timeout_max(),
+            ObjectKind::Servers => None,
+        };
+        max.map_or(timeout, |max| timeout.min(max))
+    }
+
+    async fn watch(&mut self, revision: u64) {
+        let timeout = self.watch_timeout();
+        let called_at = self.edge.clock.since_boot();
         match self
             .store
             .watch(self.object_kind.as_str(), revision, timeout)
@@ -243,6 +299,12 @@
                 self.log_unnamed(changes.unnamed);
                 let update = self.apply_events(changes.events);
                 self.send_if_watcher(&update);
+                if changes.unnamed > 0 && self.object_kind == ObjectKind::Configuration {
+                    // The object without a name may be the configuration.
+                    self.stored_configuration = None;
+                    self.revision = None;
+                }
+                self.record_proof(called_at);
                 self.report_store_view();
                 if has_changes {
                     sleep(self.share_of_apply_timeout(BATCH_DELAY_SHARE)).await;
@@ -308,6 +370,7 @@
         let mut update = StoreUpdate::default();
         match self.object_kind {
             ObjectKind::Configuration => {
+                self.stored_configuration = None;
                 for object in objects {
                     if let Some(bytes) = self.apply_configuration(object) {
                         update.configuration = Some(bytes);
@@ -357,6 +420,9 @@
 
     fn handle_configuration_event(&mut self, event: &ObjectEvent) -> Option<Bytes> {
         if event.removed {
+            if event.object.name == configuration::NAME {
+                self.stored_configuration = None;
+            }
             tracing::warn!(
                 name = event.object.name,
                 "configuration: removed from the store, keeping the current one"
@@ -394,10 +460,12 @@
         if object.name != configuration::NAME {
             return None;
         }
+        self.stored_configuration = None;
         let decoded = configuration::decode(object);
         self.log_undecodable(object, decoded.as_ref().err());
         let configuration = Arc::new(decoded.ok()?);
         let bytes = Bytes::from(object.spec.to_string());
+        self.stored_configuration = Some(ConfigurationId::new(configuration.version, &bytes));
         self.edge
             .install_configuration(configuration, Some(bytes.clone()), "store");
         Some(bytes)
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use bytes::buf::Chain;
 use bytes::{Buf, Bytes, BytesMut};
+use corianderworks_decision::edge::key_permission::SendPermit;
 use corianderworks_decision::edge::organisations::CallerIdentity;
 use corianderworks_decision::edge::routes::Idempotency;
 use corianderworks_platform::headers;
@@ -194,9 +195,10 @@
     }
 
     /// Sends a request on an idle or new connection and receives its response. `time_left` is sent
-    /// to the server as the deadline.
+    /// to the server as the deadline. The permit is used up.
     pub async fn exchange(
         &self,
+        _permit: SendPermit,
         outgoing: &OutgoingRequest,
         target: &Target,
         time_left: Duration,
