Retry refused requests by the share of attempts that a service accepts

A service whose servers all refuse about half of their requests used up the fleet's retry budget within a second: a daemon retried after 20 ms, up to 6 times, at a chance of 45% each. Callers that would have waited up to 15 s were refused then, because no budget was left.

Daemons now keep the share of attempts that each service accepts, from their own attempts and the evidence in reports. After a first refusal, another server is tried at once only if the other servers accept most attempts. Otherwise the request waits for growing, random delays. It is retried while a fair share is accepted and the latency objective can be met; later ones wait until most attempts are accepted, those with the least time left the shortest, and leave budget to more urgent ones. Without budget a request waits instead of being refused. It is refused at once if it can't be expected to be served in its time.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -3,6 +3,7 @@
 //! An edge daemon forwards requests without idempotency keys. These modules take the time as an
 //! argument and do no I/O.
 
+pub mod acceptance;
 pub mod admission;
 pub mod attempts;
 pub mod budget;
--- a/crates/corianderworks_decision/src/edge/budget.rs
+++ b/crates/corianderworks_decision/src/edge/budget.rs
@@ -180,6 +180,18 @@
 
     /// Whether the budget allows a retry now.
     pub fn allows(&mut self, service: &str, now: Duration) -> bool {
+        let (retries, usable) = self.usage(service, now);
+        retries + 1.0 <= usable
+    }
+
+    /// Returns the unused share of the budget of a service, in 0..=1.
+    pub fn unused_share(&mut self, service: &str, now: Duration) -> f64 {
+        let (retries, usable) = self.usage(service, now);
+        ((usable - retries) / usable.max(1.0)).clamp(0.0, 1.0)
+    }
+
+    /// Returns the number of retries in the window, and of those that this daemon may use.
+    fn usage(&mut self, service: &str, now: Duration) -> (f64, f64) {
         let (bounds, misses_reports) = (self.bounds, self.misses_reports(now));
         let window = self.windows.entry(ServiceTag::of(service)).or_default();
         let (buckets, daemons) = match misses_reports {
@@ -195,7 +207,7 @@
         } else {
             USABLE_SHARE
         };
-        f64::from(sum.retries) + 1.0 <= usable_share * allowed
+        (f64::from(sum.retries), usable_share * allowed)
     }
 
     /// Counts a retry if the budget allows it, and returns whether it does.
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -50,6 +50,8 @@
     pub(crate) caller: CallerIdentity,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
+    /// Time at which the head was read.
+    pub(crate) received_at: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
 }
@@ -231,6 +233,7 @@
         version: configuration.version,
         priority: priority(&caller, route),
         caller,
+        received_at: request.received_at,
         deadline,
     })
 }
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -155,6 +155,8 @@
         if let Some(server) = self.servers.get(key) {
             self.load_balancer
                 .observe_reported((key, server), evidence, now);
+            self.acceptance
+                .observe(&server.entry.service, key, evidence, now);
         }
     }
 
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -5,7 +5,8 @@
 
 use corianderworks_decision::edge::admission::{Admission, admit, retry_after, retry_after_pause};
 use corianderworks_decision::edge::attempts::{
-    AttemptEnd, AttemptState, NextStep, REFUSED_RETRY_DELAY, next_step,
+    AttemptEnd, AttemptState, NextStep, RefusedRequest, RefusedStep, delay_after_refusal,
+    may_retry_refused, next_step,
 };
 use corianderworks_decision::edge::load_balancer::{Candidates, Choice, Evidence};
 use corianderworks_decision::edge::routes::Idempotency;
@@ -56,7 +57,9 @@
     sent: u32,
     refusals: u32,
     connects_failed: u32,
-    /// Time of the next attempt at a server that refused the request.
+    /// Number of delays of the request after refusals.
+    refused_delays: u32,
+    /// Time at which the request, which servers refused, may be retried.
     retry_refused_at: Option<Instant>,
     attempts: JoinSet<EndedAttempt>,
     last_response: Option<UpstreamResponse>,
@@ -90,6 +93,7 @@
             sent: 0,
             refusals: 0,
             connects_failed: 0,
+            refused_delays: 0,
             retry_refused_at: None,
             attempts: JoinSet::new(),
             last_response: None,
@@ -237,19 +241,81 @@
         true
     }
 
-    /// Retries a server that refused the request. Gives up if none is available or the retry budget
-    /// is used up.
+    /// Retries a request that servers refused, or lets it wait further.
     fn retry_refused(&mut self) -> Step {
         self.retry_refused_at = None;
         let now = self.edge.clock.now();
-        let chosen = self.choose(Candidates::Only(&self.refused_by));
-        let within_budget = |service: &str| self.edge.lock_state().budget.try_acquire(service, now);
-        match chosen {
-            Some((choice, target)) if within_budget(&self.routing.service) => {
-                self.start(choice, target);
+        let request = self.refused_request();
+        let budget_left = {
+            let mut state = self.edge.lock_state();
+            state.budget.unused_share(&self.routing.service, now)
+        };
+        if !may_retry_refused(request, budget_left, jitter()) {
+            return self.wait_after_refusal();
+        }
+        let Some((choice, target)) = self.choose_after_refusal() else {
+            return self.wait_after_refusal();
+        };
+        let is_within_budget = {
+            let mut state = self.edge.lock_state();
+            state.budget.try_acquire(&self.routing.service, now)
+        };
+        if !is_within_budget {
+            return self.wait_after_refusal();
+        }
+        self.start(choice, target);
+        Step::Continue
+    }
+
+    /// Chooses among all servers that may run the request, or those that refused it if it may not
+    /// be sent to others.
+    fn choose_after_refusal(&self) -> Option<(Choice, Target)> {
+        let may_run = |key: &ServerKey| !self.refused_by.contains(key);
+        let others: Vec<_> = self.tried_servers.iter().copied().filter(may_run).collect();
+        match self.sent < self.routing.route.attempts_max {
+            true => self.choose(Candidates::Except(&others)),
+            false => self.choose(Candidates::Only(&self.refused_by)),
+        }
+    }
+
+    /// Schedules the next retry of a request that servers refused. Gives up if the request is not
+    /// expected to be served in its time.
+    fn wait_after_refusal(&mut self) -> Step {
+        let request = self.refused_request();
+        match delay_after_refusal(request, jitter()) {
+            RefusedStep::Wait(delay) if self.has_server_within(request.time_left) => {
+                self.refused_delays += 1;
+                self.retry_refused_at = Some(Instant::now() + delay);
                 Step::Continue
             }
-            _ => Step::End(Box::new(self.give_up(AttemptEnd::NotRun))),
+            _ => {
+                let accepted = request.accepted_share;
+                self.attempt_history
+                    .push(format!("(no time to wait, accepted {accepted:.2})"));
+                Step::End(Box::new(self.give_up(AttemptEnd::NotRun)))
+            }
+        }
+    }
+
+    /// Whether a server that the request may be sent to takes requests, now or after a pause that
+    /// ends in time.
+    fn has_server_within(&self, time: Duration) -> bool {
+        let opening = self.edge.time_to_next_opening(&self.routing.service);
+        opening.is_some_and(|opening| opening < time) || self.choose_after_refusal().is_some()
+    }
+
+    fn refused_request(&self) -> RefusedRequest {
+        let route = &self.routing.route;
+        let now = self.edge.clock.now();
+        let state = self.edge.lock_state();
+        RefusedRequest {
+            delays: self.refused_delays,
+            accepted_share: state.acceptance.share(&self.routing.service, now),
+            service_idle_for: state.acceptance.idle_for(&self.routing.service, now),
+            elapsed: self.routing.received_at.elapsed(),
+            time_left: self.remaining(),
+            latency_objective: route.latency_objective,
+            typical_latency: state.load_balancer.typical_route_latency(route),
         }
     }
 
@@ -347,6 +413,7 @@
             sent: self.sent,
             attempts_max: self.routing.route.attempts_max,
             refusals: self.refusals,
+            siblings_accepted_share: self.siblings_accepted_share(),
             failed_connects: self.connects_failed,
             time_left: self.remaining(),
         };
@@ -364,12 +431,19 @@
         }
         let no_other_server = step == NextStep::TryAnotherServer && end == AttemptEnd::NotRun;
         if step == NextStep::RetryRefused || no_other_server {
-            self.retry_refused_at = Some(Instant::now() + REFUSED_RETRY_DELAY);
-            return Step::Continue;
+            return self.wait_after_refusal();
         }
         Step::End(Box::new(self.give_up(end)))
     }
 
+    fn siblings_accepted_share(&self) -> f64 {
+        let now = self.edge.clock.now();
+        let state = self.edge.lock_state();
+        state
+            .acceptance
+            .share_without(&self.routing.service, &self.refused_by, now)
+    }
+
     fn give_up(&mut self, end: AttemptEnd) -> Outcome {
         let was_executed = |r: &UpstreamResponse| !is_not_run(r);
         if self.may_have_run && self.last_response.as_ref().is_some_and(was_executed) {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use corianderworks_decision::clock::Clock;
+use corianderworks_decision::edge::acceptance::Acceptance;
 use corianderworks_decision::edge::budget::RetryBudget;
 use corianderworks_decision::edge::fleet::{Fleet, Member};
 use corianderworks_decision::edge::load_balancer::{
@@ -48,6 +49,8 @@
     pub servers: Servers,
     /// Load of the backend servers and evidence about their health.
     pub load_balancer: LoadBalancer,
+    /// Share of their attempts that the services accept.
+    pub acceptance: Acceptance,
     /// Budget for retries, shared by all daemons.
     pub budget: RetryBudget,
     /// This daemon and the other daemons that it knows of.
@@ -193,6 +196,7 @@
             configuration: None,
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
+            acceptance: Acceptance::default(),
             budget,
             fleet,
             peer_load: PeerLoad::default(),
@@ -377,6 +381,7 @@
             Change::Removed(key) => {
                 tracing::info!(server = ?key, source, "servers: removed");
                 state.load_balancer.remove_server(*key);
+                state.acceptance.remove_server(*key);
                 return;
             }
         };
@@ -400,6 +405,7 @@
         for key in state.servers.remove_expired(now) {
             tracing::info!(server = ?key, "servers: removed, lapsed entry was not renewed");
             state.load_balancer.remove_server(key);
+            state.acceptance.remove_server(key);
         }
         drop(state);
         self.pool.close_idle();
@@ -443,10 +449,12 @@
         let EdgeState {
             servers,
             load_balancer,
+            acceptance,
             ..
         } = &mut *state;
         if let Some(server) = servers.get(key) {
             load_balancer.observe((key, server), evidence, now);
+            acceptance.observe(&server.entry.service, key, evidence, now);
             let tag = server.entry.tag();
             state.pending_report.evidence.push((tag, evidence));
         }
