Refuse at once again while all servers of a service pause

Cause: a refused request also waited for the end of a pause that all servers had asked for, so the test a_request_is_refused_at_once_while_all_servers_pause failed.

Change: it waits only while some server takes requests.

Result: the tests of refusals, announcements and forwarding pass.

--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -315,7 +315,8 @@
     fn wait_after_refusal(&mut self) -> Step {
         let request = self.refused_request();
         match delay_after_refusal(request, jitter()) {
-            RefusedStep::Wait(delay) if self.has_server_within(request.time_left) => {
+            // While all servers pause, the caller learns from the refusal when to come back.
+            RefusedStep::Wait(delay) if self.choose_after_refusal().is_some() => {
                 self.refused_delays += 1;
                 self.retry_refused_at = Some(Instant::now() + delay);
                 Step::Continue
@@ -329,13 +330,6 @@
         }
     }
 
-    /// Whether a server that the request may be sent to takes requests, now or after a pause that
-    /// ends in time.
-    fn has_server_within(&self, time: Duration) -> bool {
-        let opening = self.edge.time_to_next_opening(&self.routing.service);
-        opening.is_some_and(|opening| opening < time) || self.choose_after_refusal().is_some()
-    }
-
     fn refused_request(&self) -> RefusedRequest {
         let route = &self.routing.route;
         let now = self.edge.clock.now();
