--- a/crates/corianderworks_edge/tests/key_revocation.rs
+++ b/crates/corianderworks_edge/tests/key_revocation.rs
@@ -8,21 +8,24 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use corianderworks_decision::clock::{Clock, ManualClock, SystemClock};
-use corianderworks_decision::edge::fleet::DaemonStatus;
+use corianderworks_decision::edge::fleet::{DaemonStatus, Member};
 use corianderworks_decision::edge::key_permission::{ConfigurationId, Proof};
 use corianderworks_decision::edge::organisations::{Organisation, Organisations};
 use corianderworks_decision::edge::routes::{ConfigVersion, Configuration};
 use corianderworks_edge::metrics::Metrics;
-use corianderworks_edge::peers::Peers;
+use corianderworks_edge::peers::{Incoming, Message, Peers, StoreUpdate, store_messages};
 use corianderworks_edge::state::Edge;
 use corianderworks_edge::{caller, peer_sync, registration, store_sync};
 use corianderworks_platform::store::StoreClient;
+use corianderworks_wire::codec;
 use serde_json::{Value, json};
 use support::store::{ResponseMode, Store, configuration_spec, entry_spec, entry_status};
 use support::{Action, Backend, Daemon, Response, assert_eventually, get, header, settings};
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 const REVOCATION: Duration = Duration::from_millis(5_000);
 const KEPT_KEY: &str = "key-that-is-kept";
@@ -135,27 +138,38 @@
 /// A request that was refused by a server waits for its retry, and the permission ends meanwhile.
 #[tokio::test]
 async fn the_key_is_checked_again_before_a_retry() {
-    let backend = Backend::start([Action::Respond(200, "first", Duration::ZERO)]).await;
-    let refusing = Backend::start([Action::Raw(
-        "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-    )])
-    .await;
+    let refusing = Backend::start([Action::Refuse]).await;
     let daemon = ManualDaemon::start(&[&refusing]).await;
     daemon.install(1, KEPT_KEY);
     daemon.prove(1);
-    let (edge, clock) = (daemon.daemon.edge.clone(), daemon.clock.clone());
-    let refusals = refusing.clone();
+    let (clock, observed) = (daemon.clock.clone(), refusing.clone());
     tokio::spawn(async move {
-        while refusals.received_requests().is_empty() {
+        while observed.received_requests().is_empty() {
             tokio::task::yield_now().await;
         }
         clock.suspend(REVOCATION);
-        drop(edge);
     });
-    let response = daemon.fetch(KEPT_KEY).await;
-    assert_key_check_expired(&response);
+    assert_key_check_expired(&daemon.fetch(KEPT_KEY).await);
+    assert_eq!(refusing.received_requests().len(), 1);
+}
+
+/// A configuration without the key arrives while the request waits for its retry.
+#[tokio::test]
+async fn a_key_is_looked_up_again_before_a_retry() {
+    let refusing = Backend::start([Action::Refuse]).await;
+    let daemon = ManualDaemon::start(&[&refusing]).await;
+    daemon.install(1, WITHDRAWN_KEY);
+    daemon.prove(1);
+    let request = with_key(WITHDRAWN_KEY);
+    let withdraw = async {
+        while refusing.received_requests().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        daemon.install(2, KEPT_KEY);
+    };
+    let (response, ()) = tokio::join!(daemon.daemon.fetch(&request), withdraw);
+    assert_eq!(response.status, 401);
     assert_eq!(refusing.received_requests().len(), 1);
-    assert_eq!(backend.received_requests().len(), 0);
 }
 
 /// A missing key is no matter of the configuration's age. An unknown one may have been added since.
@@ -451,3 +465,221 @@
         assert!(calls <= calls_max, "{calls} calls, at most {calls_max}");
     }
 }
+
+/// Relay that a test plays: the only peer of a daemon that can't read the configuration itself. It
+/// answers queries when the test says so.
+struct FakeRelay {
+    peers: Arc<Peers>,
+    incoming: UnboundedReceiver<Incoming>,
+    own: Member,
+    daemon: SocketAddr,
+}
+
+impl FakeRelay {
+    /// Starts a daemon that reads only servers from the store, and a relay at the next address.
+    async fn start(revocation: Option<Duration>) -> (Self, FleetDaemon, Backend) {
+        let store = Store::start().await;
+        let backend = Backend::start([]).await;
+        let address = backend.address.to_string();
+        store.put("servers", "s1", entry_spec(&address), entry_status("ready"));
+        store.set_response_mode_of("config", ResponseMode::Unavailable);
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let daemon = FleetDaemon::start(port, 2, store, revocation).await;
+        let address = SocketAddr::from(([127, 0, 0, 3], port));
+        let (peers, incoming) = Peers::bind(address).expect("a socket");
+        let own = Member {
+            vm: "vm-3".into(),
+            started_unix_ms: 1,
+            domain: "a".into(),
+            peer: address,
+            callers: address,
+            capacity_millicores: 9_000,
+        };
+        let mut relay = Self {
+            peers,
+            incoming,
+            own,
+            daemon: SocketAddr::from(([127, 0, 0, 2], port)),
+        };
+        relay.peers.start_connecting(relay.daemon);
+        while !matches!(relay.incoming.recv().await, Some(Incoming::Connected(_))) {}
+        let hello = Message::Hello {
+            own: relay.own.clone(),
+            others: Vec::new(),
+            has_state: true,
+        };
+        relay.peers.send(relay.daemon, vec![hello]);
+        (relay, daemon, backend)
+    }
+
+    fn send_configuration(&self, spec: &Value) {
+        let update = StoreUpdate {
+            configuration: Some(Bytes::from(spec.to_string())),
+            ..StoreUpdate::default()
+        };
+        self.peers.send(self.daemon, store_messages(&update));
+    }
+
+    /// Receives for some time, and keeps up with the daemon's view of its members. Returns the
+    /// numbers of the queries that arrived.
+    async fn queries_within(&mut self, time: Duration) -> Vec<u32> {
+        let deadline = Instant::now() + time;
+        let mut queries = Vec::new();
+        while let Ok(Some(received)) = timeout_at(deadline, self.incoming.recv()).await {
+            if let Incoming::Message(_, Message::ConfirmConfiguration { sequence }) = received {
+                queries.push(sequence);
+            }
+            let hello = Message::Hello {
+                own: self.own.clone(),
+                others: Vec::new(),
+                has_state: true,
+            };
+            self.peers.send(self.daemon, vec![hello]);
+        }
+        queries
+    }
+
+    async fn next_query(&mut self) -> u32 {
+        for _ in 0..100 {
+            let queries = self.queries_within(Duration::from_millis(20)).await;
+            if let Some(sequence) = queries.last() {
+                return *sequence;
+            }
+        }
+        panic!("no query within 2 s");
+    }
+
+    fn confirm(&self, sequence: u32, spec: &Value, age_ms: u32) {
+        let version = spec["version"].as_str().and_then(|v| v[1..].parse().ok());
+        let version = version.expect("a version");
+        let encoded = spec.to_string();
+        let id = ConfigurationId::new(ConfigVersion(version), encoded.as_bytes());
+        let message = Message::ConfigurationConfirmed {
+            sequence,
+            version,
+            digest: id.digest,
+            age_ms,
+        };
+        let bytes = codec::encode(&message).expect("a message");
+        self.peers.send_datagram(self.daemon, bytes);
+    }
+}
+
+/// A relay was suspended after it had read a query, or the network held back its response. The
+/// arrival of the response says nothing about the time for which it is true.
+#[tokio::test]
+async fn a_response_that_was_held_back_gives_no_permission() {
+    let (mut relay, daemon, backend) = FakeRelay::start(Some(REVOCATION)).await;
+    let spec = spec_with_keys(1, &[WITHDRAWN_KEY]);
+    relay.send_configuration(&spec);
+    let sequence = relay.next_query().await;
+    relay.queries_within(REVOCATION).await;
+    relay.confirm(sequence, &spec, 0);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 503);
+    // A proof that was already old when the relay sent it.
+    let sequence = relay.next_query().await;
+    relay.confirm(sequence, &spec, 5_000);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 503);
+    assert_eq!(backend.received_requests().len(), 0);
+    let sequence = relay.next_query().await;
+    relay.confirm(sequence, &spec, 0);
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 200);
+}
+
+/// The daemon restarts and gets an outdated configuration from a relay that is cut off itself and
+/// confirms nothing. Public routes are served.
+#[tokio::test]
+async fn a_daemon_that_starts_with_an_old_configuration_uses_no_keys() {
+    let (mut relay, daemon, backend) = FakeRelay::start(Some(REVOCATION)).await;
+    let mut spec = spec_with_keys(1, &[WITHDRAWN_KEY]);
+    let mut public = spec["hosts"][0]["paths"][0].clone();
+    public["pathPrefix"] = json!("/public/");
+    public["public"] = json!(true);
+    let paths = spec["hosts"][0]["paths"].as_array_mut();
+    paths.expect("a list of routes").push(public);
+    relay.send_configuration(&spec);
+    relay.queries_within(Duration::from_millis(500)).await;
+    assert_eq!(daemon.version(), 1);
+    assert_key_check_expired(&daemon.daemon.fetch(&with_key(WITHDRAWN_KEY)).await);
+    assert_eq!(backend.received_requests().len(), 0);
+    let public = with_key(WITHDRAWN_KEY).replace("/read/", "/public/");
+    assert_eq!(daemon.daemon.fetch(&public).await.status, 200);
+    // Nothing vouches for the key, so the server is not told whose it was.
+    let received = backend.received_requests();
+    assert_eq!(received[0].header("tenant-name"), None);
+    assert_eq!(received[0].header("authorization"), None);
+}
+
+/// Version 2 adds the key and version 3 withdraws it at once. The relay sends version 2 late and
+/// version 3 never, and confirms only what it has.
+#[tokio::test]
+async fn a_key_added_and_withdrawn_in_quick_succession_is_not_used_for_long() {
+    let (mut relay, daemon, _backend) = FakeRelay::start(Some(REVOCATION)).await;
+    let first = spec_with_keys(1, &[KEPT_KEY]);
+    relay.send_configuration(&first);
+    let sequence = relay.next_query().await;
+    relay.confirm(sequence, &first, 0);
+    let withdrawn_at = Instant::now();
+    relay.queries_within(Duration::from_millis(3_000)).await;
+    assert_eq!(daemon.status_of(KEPT_KEY).await, 200);
+    let second = spec_with_keys(2, &[KEPT_KEY, WITHDRAWN_KEY]);
+    relay.send_configuration(&second);
+    let sequence = relay.next_query().await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 200);
+    let third = spec_with_keys(3, &[KEPT_KEY]);
+    relay.confirm(sequence, &third, 0);
+    let rest = (withdrawn_at + REVOCATION).saturating_duration_since(Instant::now());
+    relay.queries_within(rest).await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 503);
+}
+
+/// A third of the fleet reaches neither the store nor its relays.
+#[tokio::test]
+async fn partitioned_daemons_stop_using_keys_in_time_and_the_others_go_on() {
+    let fleet = KeyFleet::start(Some(REVOCATION)).await;
+    let mut cut_off = Vec::new();
+    for _ in 0..2 {
+        let (relay, daemon, _) = FakeRelay::start(Some(REVOCATION)).await;
+        cut_off.push((relay, daemon));
+    }
+    let spec = spec_with_keys(1, &[KEPT_KEY, WITHDRAWN_KEY]);
+    for (relay, daemon) in &mut cut_off {
+        relay.send_configuration(&spec);
+        let sequence = relay.next_query().await;
+        relay.confirm(sequence, &spec, 0);
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 200);
+    }
+    // The partition begins together with the withdrawal.
+    let withdrawn_at = fleet.withdraw(2);
+    sleep_until(withdrawn_at + REVOCATION).await;
+    for (_, daemon) in &cut_off {
+        assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 503);
+    }
+    for daemon in &fleet.daemons {
+        assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 401);
+        assert_eq!(daemon.status_of(KEPT_KEY).await, 200);
+    }
+}
+
+/// Deployments without the setting or without organisations must not pay for the checks.
+#[tokio::test]
+async fn no_query_is_sent_without_strict_revocation_or_organisations() {
+    let with_keys = spec_with_keys(1, &[KEPT_KEY]);
+    for (revocation, spec, expects_queries) in [
+        (None, with_keys.clone(), false),
+        (Some(REVOCATION), configuration_spec(1), false),
+        (Some(REVOCATION), with_keys, true),
+    ] {
+        let (mut relay, daemon, _backend) = FakeRelay::start(revocation).await;
+        relay.send_configuration(&spec);
+        let queries = relay.queries_within(Duration::from_millis(1_500)).await;
+        assert_eq!(daemon.version(), 1);
+        assert_eq!(!queries.is_empty(), expects_queries);
+        let status = daemon.status_of(KEPT_KEY).await;
+        assert_eq!(status, if expects_queries { 503 } else { 200 });
+    }
+}
