Read changes for proofs, and number queries from a random start

Cause: each read of the store for a proof listed the whole configuration, which is megabytes with 19,000 organisations. A random model of three nodes (seeds 0 to 199) showed that a daemon that restarts could take a response to its earlier run for one to its own query of the same number, and use a withdrawn key at least 100 ms too long. QUIC connections end with the process, so it could not happen over them.

Change: after the first list, a proof is read with a watch of 50 ms from the known revision. Queries are numbered from a random start. The gauge of the remaining time is also set while the configuration has no organisations.

Measured: the model passes with all seeds.

--- a/crates/corianderworks_decision/src/edge/key_permission.rs
+++ b/crates/corianderworks_decision/src/edge/key_permission.rs
@@ -165,7 +165,8 @@
             uses_keys: false,
             active_since: Duration::ZERO,
             expires_at: None,
-            last_sequence: 0,
+            // Responses to an earlier run of the daemon must not match the queries of this one.
+            last_sequence: (jitter * f64::from(u32::MAX)) as u32,
             open_queries: VecDeque::new(),
             last_query_at: None,
             last_query_confirmed: true,
--- a/crates/corianderworks_decision/tests/edge_key_permission.rs
+++ b/crates/corianderworks_decision/tests/edge_key_permission.rs
@@ -11,6 +11,8 @@
 };
 use corianderworks_decision::edge::organisations::{CallerIdentity, Organisation};
 use corianderworks_decision::edge::routes::ConfigVersion;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 const REVOCATION: Duration = Duration::from_secs(5);
 /// The permission ends before the revocation time, as clocks may be slowed by 10%.
@@ -472,3 +474,174 @@
     model.run(ms(1_000));
     assert_eq!(model.permitted(), 100);
 }
+
+/// What passes between the nodes of [`Random`].
+#[derive(Clone, Copy)]
+enum Sent {
+    Configuration(u64),
+    Query {
+        from: usize,
+        sequence: u32,
+    },
+    Response {
+        sequence: u32,
+        confirmation: Confirmation,
+    },
+}
+
+struct RandomNode {
+    permission: KeyPermission,
+    version: u64,
+    suspended_until: u64,
+}
+
+/// Three nodes, of which each gets its configuration from the one before it and queries it, while
+/// messages are delayed, lost and reordered, nodes are suspended and restarted, and the store, which
+/// only the first node reads, is replaced and cut off at random. Times are in milliseconds.
+struct Random {
+    rng: Pcg64Mcg,
+    nodes: Vec<RandomNode>,
+    /// Arrival, receiver and content of the messages in transit.
+    in_transit: Vec<(u64, usize, Sent)>,
+    /// Time at which each version was replaced; the last one is the latest.
+    replaced_at: Vec<Option<u64>>,
+    /// Number of times at which a node used a key.
+    uses: usize,
+}
+
+impl Random {
+    fn new(seed: u64) -> Self {
+        let node = |_| RandomNode {
+            permission: permission(0),
+            version: 0,
+            suspended_until: 0,
+        };
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nodes: (0..3).map(node).collect(),
+            in_transit: Vec::new(),
+            replaced_at: vec![None],
+            uses: 0,
+        }
+    }
+
+    fn send(&mut self, now: u64, to: usize, sent: Sent) {
+        let delay = match self.rng.random_range(0..10) {
+            0 => return,
+            1 => self.rng.random_range(0..8_000),
+            _ => self.rng.random_range(0..100),
+        };
+        self.in_transit.push((now + delay, to, sent));
+    }
+
+    fn install(&mut self, now: u64, i: usize, version: u64) {
+        let node = &mut self.nodes[i];
+        if version <= node.version {
+            return;
+        }
+        node.version = version;
+        node.permission
+            .set_configuration(id(version), true, ms(now));
+        if i + 1 < self.nodes.len() {
+            self.send(now, i + 1, Sent::Configuration(version));
+        }
+    }
+
+    fn receive(&mut self, now: u64, i: usize, sent: Sent) {
+        let permission = &mut self.nodes[i].permission;
+        match sent {
+            Sent::Configuration(version) => self.install(now, i, version),
+            Sent::Query { from, sequence } => {
+                if let Some(confirmation) = permission.confirmation(ms(now)) {
+                    let response = Sent::Response {
+                        sequence,
+                        confirmation,
+                    };
+                    self.send(now, from, response);
+                }
+            }
+            Sent::Response {
+                sequence,
+                confirmation,
+            } => {
+                permission.confirm(sequence, confirmation);
+            }
+        }
+    }
+
+    fn step(&mut self, now: u64, store_is_up: bool) {
+        if self.rng.random_bool(0.02) {
+            let last = self.replaced_at.last_mut();
+            *last.expect("a version") = Some(now);
+            self.replaced_at.push(None);
+        }
+        for i in 0..self.nodes.len() {
+            if now < self.nodes[i].suspended_until {
+                continue;
+            }
+            if self.rng.random_bool(0.002) {
+                self.nodes[i].suspended_until = now + self.rng.random_range(0..10_000);
+                continue;
+            }
+            if self.rng.random_bool(0.001) {
+                // A restart with the configuration that a relay has.
+                let version = self.nodes[i.saturating_sub(1)].version.max(1) - 1;
+                let mut permission = KeyPermission::new(Some(REVOCATION), self.rng.random());
+                permission.set_configuration(id(version), true, ms(now));
+                self.nodes[i] = RandomNode {
+                    permission,
+                    version,
+                    suspended_until: 0,
+                };
+            }
+            // The use comes first: a request may wait in the socket of a daemon that continues.
+            self.check_use(now, i);
+            let is_due = |(at, to, _): &(u64, usize, Sent)| *at <= now && *to == i;
+            let due: Vec<_> = self.in_transit.extract_if(.., |m| is_due(m)).collect();
+            for (_, _, sent) in due {
+                self.receive(now, i, sent);
+            }
+            if i == 0 && store_is_up && self.rng.random_bool(0.2) {
+                let latest = self.replaced_at.len() as u64 - 1;
+                self.install(now, 0, latest);
+                self.nodes[0].permission.record(proof(latest, ms(now)));
+            }
+            if i > 0
+                && let Some(query) = self.nodes[i].permission.next_query(Role::Other, ms(now))
+            {
+                let sequence = query.sequence;
+                self.send(now, i - 1, Sent::Query { from: i, sequence });
+            }
+            self.check_use(now, i);
+        }
+    }
+
+    fn check_use(&mut self, now: u64, i: usize) {
+        let node = &self.nodes[i];
+        if !permits(&node.permission, node.version, ms(now)) {
+            return;
+        }
+        self.uses += 1;
+        if let Some(replaced_at) = self.replaced_at[node.version as usize] {
+            let late_by = now.saturating_sub(replaced_at + REVOCATION.as_millis() as u64);
+            assert_eq!(late_by, 0, "node {i} at {now} ms");
+        }
+    }
+}
+
+/// Each version has a key of its own, which the next version withdraws.
+#[test]
+fn no_withdrawn_key_is_used_whatever_is_delayed_lost_suspended_or_restarted() {
+    for seed in 0..200 {
+        let mut model = Random::new(seed);
+        let mut store_is_up = true;
+        for now in (10_000..130_000).step_by(100) {
+            if model.rng.random_bool(0.01) {
+                store_is_up = !store_is_up;
+            }
+            model.step(now, store_is_up);
+        }
+        // Otherwise the model would show nothing.
+        assert!(model.uses > 300, "seed {seed}: {} uses", model.uses);
+    }
+}
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -583,7 +583,9 @@
             let server_use = state.load_balancer.server_use(&state.servers, service, now);
             self.metrics.set_server_use(service, server_use);
         }
-        if let Some(left) = state.key_permission.remaining(self.clock.since_boot()) {
+        let left = state.key_permission.remaining(self.clock.since_boot());
+        // A gauge keeps its last value, so it is also set while the configuration has no keys.
+        if let Some(left) = left.or(self.settings.key_revocation) {
             let left_ms = left.as_millis() as u64;
             self.metrics
                 .set_gauge("key_permission_remaining_ms", left_ms);
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -43,6 +43,9 @@
 const INITIAL_STATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between comparisons of the own view with the reported one.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time that a watch waits whose response is only needed as a proof. A store may take 0 for
+/// a missing value.
+const PROOF_WATCH_TIMEOUT: Duration = Duration::from_millis(50);
 /// First and longest delay before the retry of a failed call. It doubles with each failure.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
@@ -126,7 +129,10 @@
         self.wait_for_initial_state().await;
         loop {
             match (self.source(), self.revision) {
-                (Source::Store, Some(revision)) => self.watch(revision).await,
+                (Source::Store, Some(revision)) => {
+                    let timeout = self.watch_timeout();
+                    self.watch(revision, timeout).await;
+                }
                 (Source::Store, None) => self.list().await,
                 (Source::Peers, _) => self.compare_views().await,
             }
@@ -191,10 +197,13 @@
     /// one for too long.
     async fn compare_views(&mut self) {
         // Changes sent by peers don't update the revision, so a later watch can't continue from it.
-        self.revision = None;
+        // For the configuration it can: versions that peers have sent before change nothing.
+        if self.object_kind == ObjectKind::Servers {
+            self.revision = None;
+        }
         sleep(COMPARE_INTERVAL).await;
         if self.is_key_check_due() {
-            return self.list().await;
+            return self.read_for_proof().await;
         }
         if !self.has_mismatch() {
             self.mismatch_read_at = None;
@@ -220,6 +229,19 @@
         is_configuration && key_check::take_store_read(&self.edge)
     }
 
+    /// Reads changes of the configuration since the last read. A list would transfer all of it each
+    /// time, several megabytes in a large deployment.
+    async fn read_for_proof(&mut self) {
+        match self.revision {
+            Some(revision) => self.watch(revision, PROOF_WATCH_TIMEOUT).await,
+            None => self.list().await,
+        }
+        if !self.reachable {
+            // Changes that are too long for one response would fail again.
+            self.revision = None;
+        }
+    }
+
     /// Records that the stored configuration was the latest one when a call was sent. That proves
     /// nothing if another one is in force, or if the stored one can't be decoded.
     fn record_proof(&mut self, called_at: Duration) {
@@ -284,8 +306,7 @@
         max.map_or(timeout, |max| timeout.min(max))
     }
 
-    async fn watch(&mut self, revision: u64) {
-        let timeout = self.watch_timeout();
+    async fn watch(&mut self, revision: u64, timeout: Duration) {
         let called_at = self.edge.clock.since_boot();
         match self
             .store
--- a/crates/corianderworks_edge/tests/key_revocation.rs
+++ b/crates/corianderworks_edge/tests/key_revocation.rs
@@ -378,8 +378,8 @@
 #[tokio::test]
 async fn a_daemon_without_store_access_keeps_its_permission() {
     let fleet = KeyFleet::start(Some(REVOCATION)).await;
-    let others = fleet.daemons.iter().filter(|d| !d.watches_store());
-    let daemon = others.last().expect("a daemon that watches nothing");
+    let mut others = fleet.daemons.iter().filter(|d| !d.watches_store());
+    let daemon = others.next_back().expect("a daemon that watches nothing");
     daemon
         .access
         .set_response_mode(ResponseMode::CloseConnection);
@@ -418,6 +418,37 @@
     assert!(!fleet.backend.received_requests().is_empty());
 }
 
+/// A daemon whose relays confirm nothing reads the store itself, every 2.75 s at most.
+#[tokio::test]
+async fn a_daemon_without_confirmations_reads_the_store() {
+    let fleet = KeyFleet::start(None).await;
+    let access = fleet.store.open_address().await;
+    let daemon = FleetDaemon::start(fleet.port, 6, access, Some(REVOCATION)).await;
+    assert_eventually(Duration::from_millis(3_000), "permission", || {
+        daemon.has_permission() && !daemon.watches_store()
+    })
+    .await;
+    sleep(Duration::from_millis(2_000)).await;
+    let before = fleet.store.calls();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(8_400) {
+        assert_eq!(daemon.status_of(KEPT_KEY).await, 200);
+        sleep(Duration::from_millis(50)).await;
+    }
+    // 2 watchers of 2 kinds, each with a watch of 1.2 s, and the reads of this daemon.
+    let calls = fleet.store.calls() - before;
+    assert!(calls <= 4 * 8 + 4, "{calls} calls");
+    fleet.withdraw(2);
+    assert_eventually(Duration::from_millis(2_000), "version 2", || {
+        daemon.version() == 2
+    })
+    .await;
+    assert_eq!(daemon.status_of(WITHDRAWN_KEY).await, 401);
+    // The proof of the earlier version has to be replaced by one of the new version.
+    sleep(REVOCATION).await;
+    assert_eq!(daemon.status_of(KEPT_KEY).await, 200);
+}
+
 /// The stored object is newer than the configuration in force and can't be decoded, so it may have
 /// withdrawn any key.
 #[tokio::test]
