Keep requests that can't be retried away from suspected servers

Cause: a request that can't be retried was sent to a suspected server as soon as its retry time of 3 s had come, and to a server with one recent failure after 1.1 s, by all daemons alike.

Change: a non-idempotent request, or the last attempt of an idempotent one, prefers any server with room and a failing probability below 0.1. A server that failed becomes due for it in two cases: the expected share of the healthy servers in use comes within a margin of the floor (0.7), the least suspected one first; or its failing probability has decayed to 0.25, at the earliest 3 s after the failure, drawn so that the fleet sends one probe per second and server. Idempotent requests choose as before.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -17,6 +17,11 @@
 //! request for some time is therefore due for one, and a server that is suspected to fail is due
 //! for a retry after a longer time. The daemons see the same reports, so each request draws the
 //! time at which it considers a server due at random.
+//!
+//! A failure costs most if the request can't be retried. Such a request avoids doubtful servers
+//! while a better one has room, unless too few servers of the service would be in use, or unless
+//! the doubts are old and one request has to find out whether the server is healthy again. See
+//! `docs/design/suspected-servers.md`.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -86,6 +91,33 @@
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(4_500);
 /// Factor by which each failed retry extends the time until the next one.
 const RETRY_DELAY_FACTOR: f64 = 1.5;
+/// Failing probability from which on a server is doubtful: a request that can't be retried goes to
+/// another one that has room.
+const DOUBTFUL_PROBABILITY: f64 = 0.1;
+/// Additional cost of a doubtful server for such a request, in typical service times.
+const DOUBTFUL_COST: f64 = 20.0;
+/// Share of the healthy servers of a service that have to be in use.
+const FLOOR_SHARE: f64 = 0.7;
+/// Margin above that share within which requests that can't be retried use doubtful servers, as a
+/// share of the healthy servers and at least a number of servers. The number of healthy servers is
+/// an estimate, and in a small service one server is a large share.
+const FLOOR_MARGIN_SHARE: f64 = 0.05;
+const FLOOR_MARGIN_SERVERS_MIN: f64 = 0.75;
+/// Time after which a server that stopped failing counts as healthy.
+const RECOVERY_TIME: Duration = Duration::from_millis(2_000);
+/// Failing probability at which a request that can't be retried may probe a server that failed. A
+/// success then brings it below [`DOUBTFUL_PROBABILITY`].
+const PROBE_PROBABILITY: f64 = 0.25;
+/// Shortest time between a failure and such a probe.
+const PROBE_DELAY_MIN: Duration = Duration::from_millis(3_000);
+/// Failing probability from which on a server that failed stays due for probes after a success.
+/// Below, it gets its next request as a healthy server before it becomes doubtful by age.
+const PROBED_PROBABILITY: f64 = 0.04;
+/// Mean time until some daemon sends the probe. Several times the delay of reports, so that there
+/// is seldom a second one before all daemons learn of the first.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time after which a server that should have been probed is due like any other.
+const PROBE_OVERDUE: Duration = Duration::from_millis(2_000);
 /// Cost of a server in another failure domain, in typical service times.
 const OTHER_DOMAIN_COST: f64 = 0.8;
 /// Service time factor during a server's cold start.
@@ -144,6 +176,9 @@
     retry_at: Duration,
     /// Time between the last failure and the next retry; zero if the server isn't suspected.
     retry_delay: Duration,
+    /// Earliest time of a probe by a request that can't be retried; `None` if the server hasn't
+    /// failed since it was last known to be healthy.
+    probe_at: Option<Duration>,
     /// Moving average; 1.0 is the typical latency of the route.
     relative_latency: f64,
     samples: f64,
@@ -159,6 +194,7 @@
             used_at: Duration::ZERO,
             retry_at: Duration::ZERO,
             retry_delay: Duration::ZERO,
+            probe_at: None,
             relative_latency: 1.0,
             samples: 0.0,
         }
@@ -216,6 +252,39 @@
         self.retry_at = now + self.retry_delay;
     }
 
+    /// Schedules the probe after an observation.
+    fn schedule_probe(&mut self, is_negative: bool, now: Duration) {
+        let is_probed = is_negative || self.probe_at.is_some();
+        if !is_probed || self.failing_probability < PROBED_PROBABILITY {
+            self.probe_at = None;
+            return;
+        }
+        let delay_min = match is_negative {
+            true => PROBE_DELAY_MIN,
+            false => DUE_INTERVAL,
+        };
+        let excess = (self.failing_probability - FAILING_PROBABILITY_BASE)
+            / (PROBE_PROBABILITY - FAILING_PROBABILITY_BASE);
+        let decay = EVIDENCE_DECAY.mul_f64(excess.max(1.0).ln());
+        self.probe_at = Some(now + decay.max(delay_min));
+    }
+
+    /// Whether a request that can't be retried should find out whether the server is healthy
+    /// again. `requests` is the decayed number of recent requests of the service, and `draw` is
+    /// uniformly distributed in 0..1.
+    fn is_probe_due(&self, requests: f64, now: Duration, draw: f64) -> bool {
+        let Some(probe_at) = self.probe_at else {
+            return false;
+        };
+        let probe_at = probe_at.max(self.used_at + DUE_INTERVAL);
+        if now < probe_at {
+            return false;
+        }
+        let requests_per_s = requests / REQUEST_COUNT_DECAY.as_secs_f64();
+        let is_drawn = draw * requests_per_s * PROBE_INTERVAL.as_secs_f64() < 1.0;
+        is_drawn || now >= probe_at + PROBE_OVERDUE + DUE_SPREAD.mul_f64(draw)
+    }
+
     /// Applies Bayes' rule to an observation with the given likelihoods at a failing and at a
     /// healthy server.
     fn update(&mut self, if_failing: f64, if_healthy: f64, now: Duration) {
@@ -284,6 +353,33 @@
     (-age.as_secs_f64() / decay.as_secs_f64()).exp()
 }
 
+/// What a request that can't be retried has to know about the servers of its service.
+#[derive(Debug, Clone, Copy)]
+struct Caution {
+    /// Decayed number of recent requests of the service.
+    requests: f64,
+    /// Whether the service has enough requests for each server to be used within the time in which
+    /// it has to be. With fewer, requests that can't be retried go to the servers that responded
+    /// last.
+    has_requests_for_all: bool,
+    /// Whether a candidate that isn't doubtful has a free slot.
+    better_has_room: bool,
+    /// Failing probability up to which idle servers are needed, so that enough of the healthy
+    /// servers are in use.
+    needed_up_to: f64,
+}
+
+/// How a request treats a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    /// The server should get a request now.
+    Due,
+    /// The server competes by its expected cost.
+    ByCost,
+    /// The server is used only if no other one is left.
+    Avoid,
+}
+
 /// Chosen server and the estimates behind the choice, which are logged.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Choice {
@@ -398,6 +494,9 @@
         if evidence.is_negative() {
             state.schedule_retry(now);
         }
+        if evidence != Evidence::Shed || state.evidence_at == now {
+            state.schedule_probe(evidence.is_negative(), now);
+        }
     }
 
     /// Records the latency of a response and returns it relative to the route's typical latency
@@ -446,15 +545,27 @@
         F: FnMut() -> f64,
     {
         let mean_s = query.typical_latency.as_secs_f64();
-        let may_use_due = query.may_retry || self.has_requests_for_all(servers, &query, now);
+        let caution = match query.may_retry {
+            true => None,
+            false => Some(self.caution(servers, &query, now)),
+        };
         let available = servers
             .of_service(query.service)
             .filter(|(k, s)| s.accepts_requests(now) && query.candidates.contains(*k));
         let costs = available.map(|(key, server)| {
             let (mut cost_s, choice) = self.cost(key, server, &query, mean_s, now);
             let is_own_domain = &*server.entry.domain == query.domain;
-            if may_use_due && self.is_due(key, is_own_domain, now, jitter()) {
-                cost_s -= DUE_COST_REDUCTION * mean_s;
+            let spread = jitter();
+            let is_due = self.is_due(key, is_own_domain, now, spread);
+            let step = match &caution {
+                None if is_due => Placement::Due,
+                None => Placement::ByCost,
+                Some(caution) => self.placement(caution, &choice, is_due, now, spread),
+            };
+            match step {
+                Placement::Due => cost_s -= DUE_COST_REDUCTION * mean_s,
+                Placement::ByCost => {}
+                Placement::Avoid => cost_s += DOUBTFUL_COST * mean_s,
             }
             (cost_s + jitter() * JITTER_COST_MAX * mean_s, choice)
         });
@@ -463,16 +574,77 @@
             .map(|(_, choice)| choice)
     }
 
-    /// Whether the service has enough requests for each server to be used within the time in which
-    /// it has to be. With fewer, requests that can't be retried go to the servers that responded
-    /// last.
-    fn has_requests_for_all(&self, servers: &Servers, query: &Query<'_>, now: Duration) -> bool {
+    /// Decides how a request that can't be retried treats a server. `is_due` tells whether the server
+    /// has had no request for some time, and `draw` is uniformly distributed in 0..1.
+    fn placement(
+        &self,
+        caution: &Caution,
+        choice: &Choice,
+        is_due: bool,
+        now: Duration,
+        draw: f64,
+    ) -> Placement {
+        let is_doubtful = choice.failing_probability >= DOUBTFUL_PROBABILITY;
+        let state = self.states.get(choice.key);
+        let has_failed = state.is_some_and(|s| s.probe_at.is_some());
+        let is_needed =
+            !(is_doubtful && has_failed) || choice.failing_probability <= caution.needed_up_to;
+        if is_due && is_needed && caution.has_requests_for_all {
+            return Placement::Due;
+        }
+        if state.is_some_and(|s| s.is_probe_due(caution.requests, now, draw)) {
+            return Placement::Due;
+        }
+        match is_doubtful && caution.better_has_room {
+            true => Placement::Avoid,
+            false => Placement::ByCost,
+        }
+    }
+
+    /// Assesses the servers of a service for a request that can't be retried.
+    fn caution(&self, servers: &Servers, query: &Query<'_>, now: Duration) -> Caution {
+        let default_state = ServerState::default();
+        let (mut accepting, mut healthy, mut in_use) = (0_u32, 0.0, 0.0);
+        let mut better_has_room = false;
+        // Servers that may come into use: probabilities that they are failing now, and that they
+        // have been healthy for long enough to count.
+        let mut idle = Vec::new();
+        let of_service = servers.of_service(query.service);
+        for (key, server) in of_service.filter(|(_, s)| s.accepts_requests(now)) {
+            let state = self.states.get(key).unwrap_or(&default_state);
+            let failing_probability = state.failing_probability_at(now);
+            let recovered_before = now.saturating_sub(RECOVERY_TIME);
+            let is_healthy = 1.0 - state.failing_probability_at(recovered_before);
+            accepting += 1;
+            healthy += is_healthy;
+            if now < state.used_at + DUE_INTERVAL {
+                in_use += is_healthy;
+            } else if now >= state.due().0 {
+                idle.push((failing_probability, is_healthy));
+            }
+            better_has_room |= failing_probability < DOUBTFUL_PROBABILITY
+                && state.in_flight() < server.entry.slots
+                && query.candidates.contains(key);
+        }
+        idle.sort_by(|a: &(f64, f64), b| a.0.total_cmp(&b.0));
+        let margin = (FLOOR_MARGIN_SHARE * healthy).max(FLOOR_MARGIN_SERVERS_MIN);
+        let needed = FLOOR_SHARE * healthy + margin;
+        let mut needed_up_to = 0.0;
+        for (failing_probability, is_healthy) in idle {
+            if in_use >= needed {
+                break;
+            }
+            in_use += is_healthy;
+            needed_up_to = failing_probability;
+        }
         let requests = self.request_counts.get(query.service);
         let requests = requests.map_or(0.0, |r| r.at_time(now));
-        let accepting = servers
-            .of_service(query.service)
-            .filter(|(_, s)| s.accepts_requests(now));
-        requests >= accepting.count() as f64
+        Caution {
+            requests,
+            has_requests_for_all: requests >= f64::from(accepting),
+            better_has_room,
+            needed_up_to,
+        }
     }
 
     /// Counts the servers of a service that accept requests by their usage.
