Quotas: decide on the requests of organisations by counts on reports

Cause: the limits of organisations (`ratePerS`, `burst`) are read but not enforced. No daemon sees more than a hundredth of an organisation's requests, and the view of the others is 30 to 200 ms old.

Change: `edge/quota.rs` keeps a token bucket per organisation from which the admissions of all daemons are deducted. A request is admitted with a probability that falls when the bucket holds less than the other daemons are expected to get before their reports arrive. Silent daemons keep their share of rate and bucket; starts, pauses and lowered limits are handled. Pauses and the share of reporting daemons are shared with the retry budget (`edge/report_coverage.rs`).

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -10,6 +10,8 @@
 pub mod load_balancer;
 pub mod organisations;
 pub mod peer_load;
+pub mod quota;
+pub mod report_coverage;
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
--- a/crates/corianderworks_decision/src/edge/budget.rs
+++ b/crates/corianderworks_decision/src/edge/budget.rs
@@ -15,7 +15,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::fleet::{DOWN_AFTER, DOWN_AFTER_OTHER_DOMAIN, RunKey};
+use super::fleet::{DOWN_AFTER_OTHER_DOMAIN, RunKey};
+use super::report_coverage::ReportCoverage;
 
 /// Bounds on retries, per service and over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -118,14 +119,7 @@
 pub struct RetryBudget {
     bounds: RetryBudgetBounds,
     started_at: Duration,
-    /// Number of daemons, including this one, whose reports this daemon receives.
-    reporting_daemons: usize,
-    /// Number of known daemons, including this one.
-    known_daemons: usize,
-    /// Last call of [`set_reporting_daemons`](Self::set_reporting_daemons), `None` before the first.
-    updated_at: Option<Duration>,
-    /// End of the last pause of this process, `None` if there was none.
-    resumed_at: Option<Duration>,
+    coverage: ReportCoverage,
     windows: HashMap<ServiceTag, Window>,
     peer_counts: HashMap<(RunKey, ServiceTag), Counts>,
 }
@@ -136,10 +130,7 @@
         Self {
             bounds,
             started_at,
-            reporting_daemons: 1,
-            known_daemons: 1,
-            updated_at: None,
-            resumed_at: None,
+            coverage: ReportCoverage::new(DOWN_AFTER_OTHER_DOMAIN),
             windows: HashMap::new(),
             peer_counts: HashMap::new(),
         }
@@ -149,23 +140,7 @@
     /// include the daemon itself. Must be called once per heartbeat interval; a much longer time
     /// between two calls counts as a pause of the process.
     pub fn set_reporting_daemons(&mut self, reporting: usize, known: usize, now: Duration) {
-        if self.is_paused(now) {
-            self.resumed_at = Some(now);
-        }
-        self.updated_at = Some(now);
-        (self.reporting_daemons, self.known_daemons) = (reporting, known.max(1));
-    }
-
-    /// Whether this process was paused and hasn't noticed it yet.
-    fn is_paused(&self, now: Duration) -> bool {
-        let updated_at = self.updated_at.unwrap_or(now);
-        now.saturating_sub(updated_at) >= DOWN_AFTER
-    }
-
-    /// Whether reports that were missed during a pause of this process may be missing still.
-    fn misses_reports(&self, now: Duration) -> bool {
-        let has_resumed = |at| now.saturating_sub(at) < DOWN_AFTER_OTHER_DOMAIN;
-        self.is_paused(now) || self.resumed_at.is_some_and(has_resumed)
+        self.coverage.update(reporting, known, now);
     }
 
     /// Counts a request to a service, which raises the number of allowed retries.
@@ -180,14 +155,13 @@
 
     /// Whether the budget allows a retry now.
     pub fn allows(&mut self, service: &str, now: Duration) -> bool {
-        let (bounds, misses_reports) = (self.bounds, self.misses_reports(now));
+        let (bounds, misses_reports) = (self.bounds, self.coverage.misses_reports(now));
         let window = self.windows.entry(ServiceTag::of(service)).or_default();
-        let (buckets, daemons) = match misses_reports {
-            true => (&mut window.own_buckets, 1),
-            false => (&mut window.buckets, self.reporting_daemons),
+        let (buckets, fleet_share) = match misses_reports {
+            true => (&mut window.own_buckets, self.coverage.own_share()),
+            false => (&mut window.buckets, self.coverage.share()),
         };
         let sum = sum(buckets, bounds.window, now);
-        let fleet_share = daemons as f64 / self.known_daemons as f64;
         let allowed = bounds.ratio * f64::from(sum.requests) + bounds.extra * fleet_share;
         let has_just_started = now.saturating_sub(self.started_at) < bounds.window;
         let usable_share = if has_just_started || misses_reports {
--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -252,6 +252,20 @@
         now.saturating_sub(known.last_received) < limit
     }
 
+    /// Whether the last report of a run arrived less than `age_max` ago.
+    pub fn has_reported_within(&self, key: RunKey, age_max: Duration, now: Duration) -> bool {
+        let known = self.by_key.get(&key).and_then(|vm| self.known.get(vm));
+        known.is_some_and(|k| k.has_reported && now.saturating_sub(k.last_received) < age_max)
+    }
+
+    /// Returns the number of daemons, including this one, whose last report arrived less than
+    /// `age_max` ago.
+    pub fn reporting_count(&self, age_max: Duration, now: Duration) -> usize {
+        let reported =
+            |k: &&KnownMember| k.has_reported && now.saturating_sub(k.last_received) < age_max;
+        1 + self.known.values().filter(reported).count()
+    }
+
     fn members_up(&self, now: Duration) -> impl Iterator<Item = &KnownMember> {
         self.known
             .values()
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::organisations::Organisations;
+use super::organisations::{Organisations, RateLimit};
 
 /// Version of a configuration; higher numbers are newer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -170,6 +170,12 @@
         self
     }
 
+    /// Returns the names and limits of the organisations that have a limit.
+    pub fn quota_limits(&self) -> impl Iterator<Item = (Arc<str>, RateLimit)> {
+        let organisations = self.organisations.iter().flat_map(Organisations::iter);
+        organisations.filter_map(|o| Some((o.name.clone(), o.limit?)))
+    }
+
     /// Returns the route of a host with the longest prefix of `path`. Ignores a port in `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = strip_port(host).to_ascii_lowercase();
