Quotas: admit at the daemon, report the counts, refuse with 429

Cause: nothing asked for the decision of `edge/quota.rs`.

Change: `forward.rs` admits after the key was checked and the route found; a refusal is 429, reason `quota`, with the time until the bucket refills. A guard gives the token back if the request ends without having run. The counts are a new last field of `Report`. A gauge shows the refusals of the 20 organisations with most of them, and the rest as a sum.

--- a/crates/corianderworks_decision/src/edge/peer_load.rs
+++ b/crates/corianderworks_decision/src/edge/peer_load.rs
@@ -8,6 +8,7 @@
 use super::budget::{ReportedCounts, ServiceTag};
 use super::fleet::RunKey;
 use super::load_balancer::Evidence;
+use super::quota::{OrganisationTag, ReportedAdmissions};
 
 /// Time for which changes are collected into one report to the relays of the own domain.
 const REPORT_DELAY: Duration = Duration::from_millis(4);
@@ -82,6 +83,9 @@
     pub counts: Vec<(ServiceTag, ReportedCounts)>,
     /// State of the store, if the daemon has just read it.
     pub store: Option<StoreView>,
+    /// Admitted and refused requests of the organisations with a limit that had requests since the
+    /// last report.
+    pub quotas: Vec<(OrganisationTag, ReportedAdmissions)>,
 }
 
 impl Report {
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -15,7 +15,7 @@
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::run::RequestRun;
-use crate::state::Edge;
+use crate::state::{Edge, QuotaGuard};
 
 /// Minimum `retry-after` time of requests that are refused for other reasons than admission
 /// control; jitter only adds to it.
@@ -48,12 +48,56 @@
     pub(crate) service: Arc<str>,
     pub(crate) version: ConfigVersion,
     pub(crate) caller: CallerIdentity,
+    /// Token of the organisation's quota; `None` if it has no limit.
+    pub(crate) quota: Option<Arc<QuotaGuard>>,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
 }
 
+impl Routing {
+    /// Sets whether the request may have been run; if not, its end gives the quota token back.
+    pub(crate) fn set_quota_used(&self, is_used: bool) {
+        if let Some(quota) = &self.quota {
+            quota.set_used(is_used);
+        }
+    }
+}
+
+/// Refusal of a request that is not forwarded.
+struct Refusal {
+    reason: Reason,
+    /// Organisation and retry time of a request that exceeds a quota.
+    quota: Option<(Arc<str>, Duration)>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            quota: None,
+        }
+    }
+}
+
+impl Refusal {
+    fn organisation(&self) -> Option<&str> {
+        self.quota.as_ref().map(|(name, _)| &**name)
+    }
+
+    fn into_reply(self, request_id: Option<Bytes>) -> Reply {
+        match self.quota {
+            Some((_, retry_after)) => Reply::Local {
+                reason: self.reason,
+                retry_after: Some(retry_after),
+                request_id,
+            },
+            None => reply_without_attempt(self.reason, request_id),
+        }
+    }
+}
+
 /// Response to a request and the reason that is logged and counted for it.
 #[derive(Debug)]
 pub(crate) struct Outcome {
@@ -69,15 +113,20 @@
     let head = request.head.clone();
     let received_at = request.received_at;
     let mut disconnect_logger = DisconnectLogger::new(&edge, &request);
-    let (outcome, attempt_history) = match routing(&edge, &request) {
+    let (outcome, run) = match routing(&edge, &request) {
         Ok(routing) => {
             let mut run = RequestRun::new(edge.clone(), routing, request);
             let outcome = run.run().await;
-            (outcome, Some(run))
+            if outcome.reason.means_not_run() {
+                run.routing().set_quota_used(false);
+            }
+            (outcome, Ok(run))
         }
-        Err(reason) => {
-            let reply = reply_without_attempt(reason, request_id);
-            (Outcome { reason, reply }, None)
+        Err(refusal) => {
+            let organisation = refusal.organisation().map(str::to_owned);
+            let reason = refusal.reason;
+            let reply = refusal.into_reply(request_id);
+            (Outcome { reason, reply }, Err(organisation))
         }
     };
     disconnect_logger.completed = true;
@@ -86,7 +135,7 @@
         &head,
         received_at,
         &outcome,
-        attempt_history.as_ref(),
+        run.as_ref().map_err(Option::as_deref),
     );
     outcome.reply
 }
@@ -157,7 +206,7 @@
     head: &RequestHead,
     received_at: Instant,
     outcome: &Outcome,
-    run: Option<&RequestRun>,
+    run: Result<&RequestRun, Option<&str>>,
 ) {
     let took = received_at.elapsed();
     edge.metrics.request(outcome.reason, took);
@@ -168,6 +217,8 @@
     let Some(omitted) = limiter.try_acquire(edge.clock.now()) else {
         return;
     };
+    let refused_organisation = run.err().flatten();
+    let run = run.ok();
     let status = match &outcome.reply {
         Reply::Upstream { response, .. } => response.head.status,
         Reply::Local { reason, .. } => reason.status().0,
@@ -183,7 +234,8 @@
         priority = run.map(|r| r.routing().priority),
         organisation = run
             .and_then(|r| r.routing().caller.organisation())
-            .map(|o| &*o.name),
+            .map(|o| &*o.name)
+            .or(refused_organisation),
         servers = run.map(RequestRun::attempt_history),
         reason = outcome.reason.name(),
         status,
@@ -200,7 +252,7 @@
 
 /// Determines the route, the service and the deadline of a request, and counts the request for the
 /// retry budget of the service.
-fn routing(edge: &Edge, request: &CallerRequest) -> Result<Routing, Reason> {
+fn routing(edge: &Arc<Edge>, request: &CallerRequest) -> Result<Routing, Refusal> {
     let configuration = edge.configuration().ok_or(Reason::NoConfiguration)?;
     let head = &request.head;
     let host = head.headers.text("host").ok_or(Reason::Malformed)?;
@@ -220,8 +272,9 @@
     });
     let deadline = request.received_at + time_limit;
     if !edge.admits_request(deadline.saturating_duration_since(Instant::now())) {
-        return Err(Reason::Stopping);
+        return Err(Reason::Stopping.into());
     }
+    let quota = admit_to_quota(edge, &caller)?;
     edge.lock_state()
         .budget
         .record_request(service, edge.clock.now());
@@ -231,10 +284,25 @@
         version: configuration.version,
         priority: priority(&caller, route),
         caller,
+        quota,
         deadline,
     })
 }
 
+fn admit_to_quota(
+    edge: &Arc<Edge>,
+    caller: &CallerIdentity,
+) -> Result<Option<Arc<QuotaGuard>>, Refusal> {
+    let Some(organisation) = caller.organisation() else {
+        return Ok(None);
+    };
+    edge.admit_to_quota(organisation)
+        .map_err(|retry_after| Refusal {
+            reason: Reason::Quota,
+            quota: Some((organisation.name.clone(), retry_after)),
+        })
+}
+
 /// Determines whom a request comes from. A request with several keys is treated like one with a
 /// malformed key, because other components might read another one of them.
 fn identify_caller(
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -7,7 +7,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::{IntGaugeVec, Opts, Registry, TextEncoder};
 
 use crate::reason::Reason;
 
@@ -34,6 +34,7 @@
     store_calls: Counter<u64>,
     state: Gauge<u64>,
     servers: Gauge<u64>,
+    quota_refused: IntGaugeVec,
 }
 
 impl Metrics {
@@ -52,6 +53,17 @@
             .map_err(|e| MetricsError(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("corianderworks");
+        let quota_refused = IntGaugeVec::new(
+            Opts::new(
+                "corianderworks_edge_quota_refused",
+                "Requests refused by the quota since the start, by organisation",
+            ),
+            &["organisation"],
+        )
+        .map_err(|e| MetricsError(e.to_string()))?;
+        registry
+            .register(Box::new(quota_refused.clone()))
+            .map_err(|e| MetricsError(e.to_string()))?;
         let bounds = LATENCY_BOUNDS_S.to_vec();
         Ok(Self {
             requests: meter.u64_counter("corianderworks_edge_requests").build(),
@@ -69,6 +81,7 @@
             store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
             state: meter.u64_gauge("corianderworks_edge_state").build(),
             servers: meter.u64_gauge("corianderworks_edge_servers").build(),
+            quota_refused,
             registry,
             _provider: Arc::new(provider),
         })
@@ -114,6 +127,21 @@
         }
     }
 
+    /// Sets the gauges of the requests that the quota refused: one for each organisation in
+    /// `most_refused`, and one without a name for the sum of all others. The gauges of organisations
+    /// that are no longer listed are removed.
+    pub fn set_quota_refused(&self, most_refused: &[(Arc<str>, u64)], others: u64) {
+        self.quota_refused.reset();
+        let listed = most_refused
+            .iter()
+            .map(|(name, refused)| (&**name, *refused));
+        let rest = (others > 0).then_some(("", others));
+        for (organisation, refused) in listed.chain(rest) {
+            let gauge = self.quota_refused.with_label_values(&[organisation]);
+            gauge.set(i64::try_from(refused).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -156,7 +156,10 @@
 
     fn update_topology(&mut self) {
         self.topology_due = Instant::now() + TOPOLOGY_INTERVAL;
-        self.topology = self.edge.lock_state().fleet.topology(self.edge.clock.now());
+        let now = self.edge.clock.now();
+        let mut state = self.edge.lock_state();
+        self.topology = state.fleet.topology(now);
+        state.update_quota_coverage(now);
     }
 
     /// Sends a report to the relays of the own domain, and to all candidates if it is complete.
--- a/crates/corianderworks_edge/src/report_datagrams.rs
+++ b/crates/corianderworks_edge/src/report_datagrams.rs
@@ -54,6 +54,7 @@
         evidence: split_off_half(&mut report.evidence),
         leaving: split_off_half(&mut report.leaving),
         counts: split_off_half(&mut report.counts),
+        quotas: split_off_half(&mut report.quotas),
         ..report
     };
     split_into(report, parts);
@@ -72,11 +73,13 @@
 fn encoded_bytes_max(report: &Report) -> usize {
     const OTHER_FIELDS_BYTES: usize = 64;
     const VARINT_BYTES: usize = 5;
+    const ORGANISATION_TAG_BYTES: usize = 4;
     OTHER_FIELDS_BYTES
         + report.in_flight.len() * 2 * VARINT_BYTES
         + report.evidence.len() * 3 * VARINT_BYTES
         + report.leaving.len() * VARINT_BYTES
         + report.counts.len() * 5 * VARINT_BYTES
+        + report.quotas.len() * (ORGANISATION_TAG_BYTES + 3 * VARINT_BYTES)
 }
 
 fn longest_list(report: &Report) -> usize {
@@ -85,6 +88,7 @@
         report.evidence.len(),
         report.leaving.len(),
         report.counts.len(),
+        report.quotas.len(),
     ];
     lengths.into_iter().max().unwrap_or(0)
 }
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -6,6 +6,7 @@
 use corianderworks_decision::edge::fleet::{DaemonStatus, RunKey};
 use corianderworks_decision::edge::load_balancer::Evidence;
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
+use corianderworks_decision::edge::quota;
 use corianderworks_decision::edge::servers::ServerEntry;
 
 use crate::peers::StoreUpdate;
@@ -50,6 +51,7 @@
             false => leaving,
         };
         let counts = state.budget.take_counts(complete, self.clock.now());
+        let quotas = state.quotas.take_counts();
         let load = |tag: ServerTag| {
             let key = state.servers.key_of_tag(tag);
             let load = key.map_or(0, |key| state.load_balancer.own_in_flight(key));
@@ -69,6 +71,7 @@
             leaving,
             counts,
             store,
+            quotas,
         }
     }
 
@@ -84,6 +87,10 @@
         if !state.peer_load.accept_sequence(report) {
             return ReportResult::Outdated;
         }
+        let reported_recently =
+            state
+                .fleet
+                .has_reported_within(report.origin, quota::SILENT_AFTER, now);
         state.fleet.record_report(report.origin, report.status, now);
         for (tag, evidence) in &report.evidence {
             state.observe_tag(*tag, *evidence, now);
@@ -94,6 +101,9 @@
         for (tag, counts) in &report.counts {
             state.budget.apply_counts(report.origin, *tag, *counts, now);
         }
+        state
+            .quotas
+            .apply_counts(report.origin, &report.quotas, !reported_recently, now);
         if let Some(view) = report.store {
             state.record_store_view(view, now);
         }
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -179,6 +179,7 @@
     }
 
     fn start(&mut self, choice: Choice, target: Target) {
+        self.routing.set_quota_used(true);
         let guard = self.edge.start_attempt(choice.key);
         let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
         let remaining = self.remaining();
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of an edge daemon.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::fmt;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 
@@ -11,7 +12,9 @@
 use corianderworks_decision::edge::load_balancer::{
     Candidates, Choice, Evidence, LoadBalancer, Query,
 };
+use corianderworks_decision::edge::organisations::Organisation;
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
+use corianderworks_decision::edge::quota::{self, QuotaDecision, QuotaToken, Quotas};
 use corianderworks_decision::edge::routes::{Configuration, Idempotency, Route, replace_if_newer};
 use corianderworks_decision::edge::servers::{
     Announcement, Change, ServerEntry, ServerKey, Servers,
@@ -39,6 +42,12 @@
 /// have passed when the outage begins.
 const LAPSE_HEARTBEATS_MISSED: u32 = 2;
 
+/// Time after which the daemons that introduced themselves count as the whole fleet if the store
+/// can't be read. Longer than a weak VM takes to connect to the relays of its domain.
+const REGISTERED_MEMBERS_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of organisations with a metric of their own, so that the number of metrics is bounded.
+const ORGANISATION_METRICS_MAX: usize = 20;
+
 /// Mutable state of a daemon, protected by one lock.
 #[derive(Debug)]
 pub struct EdgeState {
@@ -50,6 +59,8 @@
     pub load_balancer: LoadBalancer,
     /// Budget for retries, shared by all daemons.
     pub budget: RetryBudget,
+    /// Quotas of the organisations, shared by all daemons.
+    pub quotas: Quotas,
     /// This daemon and the other daemons that it knows of.
     pub fleet: Fleet,
     /// Requests that the other daemons have in flight.
@@ -60,6 +71,8 @@
     pub reported_store_view: ReportedStoreView,
     /// Current configuration, encoded as in the store.
     pub configuration_bytes: Option<Bytes>,
+    /// Start of the daemon.
+    pub started_at: Duration,
     /// Whether the registered daemons were read from the store.
     pub knows_registered_members: bool,
     /// Daemons that count as removed but may still have a record in the store.
@@ -72,6 +85,18 @@
         self.configuration.as_ref().map_or(0, |c| c.version.0)
     }
 
+    /// Tells the quotas from how many daemons reports arrive.
+    pub(crate) fn update_quota_coverage(&mut self, now: Duration) {
+        if !self.quotas.is_in_use() {
+            return;
+        }
+        let reporting = self.fleet.reporting_count(quota::SILENT_AFTER, now);
+        let knows_fleet = self.knows_registered_members
+            || now.saturating_sub(self.started_at) >= REGISTERED_MEMBERS_TIMEOUT;
+        let known = knows_fleet.then(|| self.fleet.others().count() + 1);
+        self.quotas.set_reporting_daemons(reporting, known, now);
+    }
+
     /// Records and logs that a server said that it is shutting down. Returns whether it is new.
     pub(crate) fn record_leaving(&mut self, key: ServerKey, source: &'static str) -> bool {
         let is_new = self.servers.announce(key, Announcement::Leaving);
@@ -184,6 +209,10 @@
     /// Creates a daemon without a configuration, backend servers or peers.
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, metrics: Metrics) -> Self {
         let budget = RetryBudget::new(settings.budget, clock.now());
+        let quotas = match settings.first_start {
+            true => Quotas::at_first_start(settings.quota, clock.now()),
+            false => Quotas::new(settings.quota, clock.now()),
+        };
         let own = own_member(&settings, clock.wall());
         let fleet = match settings.first_start {
             true => Fleet::at_first_start(own),
@@ -194,11 +223,13 @@
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
             budget,
+            quotas,
             fleet,
             peer_load: PeerLoad::default(),
             pending_report: PendingReport::default(),
             reported_store_view: ReportedStoreView::default(),
             configuration_bytes: None,
+            started_at: clock.now(),
             knows_registered_members: false,
             removed_members: Vec::new(),
         };
@@ -295,9 +326,11 @@
         let EdgeState {
             configuration,
             load_balancer,
+            quotas,
             ..
         } = &mut *state;
         if let Some(configuration) = configuration {
+            quotas.set_limits(configuration.quota_limits(), self.clock.now());
             load_balancer.retain_routes(|name| configuration.has_route(name));
         }
         tracing::info!(
@@ -520,6 +553,35 @@
         domain_peers.chain(relays.iter().map(|m| m.peer)).collect()
     }
 
+    /// Decides whether a request of an organisation is within its quota.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may retry if the quota is used up.
+    pub fn admit_to_quota(
+        self: &Arc<Self>,
+        organisation: &Organisation,
+    ) -> Result<Option<Arc<QuotaGuard>>, Duration> {
+        if organisation.limit.is_none() {
+            return Ok(None);
+        }
+        let random = rand::rng().random();
+        let now = self.clock.now();
+        let decision = self
+            .lock_state()
+            .quotas
+            .admit(&organisation.name, random, now);
+        match decision {
+            QuotaDecision::Unlimited => Ok(None),
+            QuotaDecision::Admit(token) => Ok(Some(Arc::new(QuotaGuard {
+                edge: self.clone(),
+                token,
+                is_used: AtomicBool::new(false),
+            }))),
+            QuotaDecision::Refuse { retry_after } => Err(retry_after),
+        }
+    }
+
     /// Counts an attempt as in flight at a backend server until the guard is dropped.
     pub fn start_attempt(self: &Arc<Self>, key: ServerKey) -> AttemptGuard {
         let mut state = self.lock_state();
@@ -552,7 +614,9 @@
             let server_use = state.load_balancer.server_use(&state.servers, service, now);
             self.metrics.set_server_use(service, server_use);
         }
+        let (most_refused, others) = state.quotas.most_refused(ORGANISATION_METRICS_MAX);
         drop(state);
+        self.metrics.set_quota_refused(&most_refused, others);
         self.metrics.prometheus_text()
     }
 
@@ -581,6 +645,37 @@
     pub may_have_lapsed: bool,
 }
 
+/// Token of a request's quota, which is given back when the guard is dropped unless the request was
+/// used.
+pub struct QuotaGuard {
+    edge: Arc<Edge>,
+    token: QuotaToken,
+    is_used: AtomicBool,
+}
+
+impl fmt::Debug for QuotaGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = f.debug_struct("QuotaGuard");
+        debug.field("token", &self.token).finish_non_exhaustive()
+    }
+}
+
+impl QuotaGuard {
+    /// Sets whether the request has been sent to a server that may run it.
+    pub fn set_used(&self, is_used: bool) {
+        self.is_used.store(is_used, Ordering::Relaxed);
+    }
+}
+
+impl Drop for QuotaGuard {
+    fn drop(&mut self) {
+        if !self.is_used.load(Ordering::Relaxed) {
+            let now = self.edge.clock.now();
+            self.edge.lock_state().quotas.give_back(self.token, now);
+        }
+    }
+}
+
 /// Counts an attempt as in flight at its server until it is dropped.
 pub struct AttemptGuard {
     edge: Arc<Edge>,
--- a/crates/corianderworks_edge/tests/report_datagrams.rs
+++ b/crates/corianderworks_edge/tests/report_datagrams.rs
@@ -4,18 +4,20 @@
 use corianderworks_decision::edge::fleet::{DaemonStatus, RunKey};
 use corianderworks_decision::edge::load_balancer::{Evidence, RelativeLatency};
 use corianderworks_decision::edge::peer_load::{PeerLoad, Report, ServerTag};
+use corianderworks_decision::edge::quota::{OrganisationTag, ReportedAdmissions};
 use corianderworks_edge::peers::{DATAGRAM_MAX_BYTES, Message};
 use corianderworks_edge::report_datagrams::{encode, split};
 use corianderworks_wire::codec;
 
 const SERVICES: u32 = 150;
 const SERVERS: u32 = 4_000;
+const ORGANISATIONS: u32 = 19_000;
 
 fn server(number: u32) -> ServerTag {
     ServerTag(u32::MAX - number)
 }
 
-fn report(in_flight: u32, observations: u32, services: u32) -> Report {
+fn report(in_flight: u32, observations: u32, services: u32, organisations: u32) -> Report {
     let counts = Counts {
         requests: u32::MAX,
         retries: u32::MAX,
@@ -24,6 +26,11 @@
         total: counts,
         recent: counts,
     };
+    let admissions = ReportedAdmissions {
+        admitted_total: u32::MAX,
+        admitted_new: i32::MIN,
+        refused_new: u32::MAX,
+    };
     let success = Evidence::Success(RelativeLatency(u16::MAX));
     Report {
         origin: RunKey(u32::MAX),
@@ -37,6 +44,9 @@
             .map(|n| (ServiceTag(u32::MAX - n), reported))
             .collect(),
         store: None,
+        quotas: (0..organisations)
+            .map(|n| (OrganisationTag::of(&n.to_string()), admissions))
+            .collect(),
     }
 }
 
@@ -56,17 +66,18 @@
 /// Guards against daemons that count as silent because their reports are too long to be sent.
 #[test]
 fn reports_of_every_size_arrive_whole() {
-    for (in_flight, observations, services) in [
-        (0, 0, 0),
-        (3, 5, 4),
-        (0, 0, SERVICES),
-        (0, 600, 0),
-        (SERVERS, 0, 0),
-        (SERVERS, SERVERS, SERVICES),
+    for (in_flight, observations, services, organisations) in [
+        (0, 0, 0, 0),
+        (3, 5, 4, 2),
+        (0, 0, SERVICES, 0),
+        (0, 600, 0, 0),
+        (0, 0, 0, ORGANISATIONS),
+        (SERVERS, 0, 0, 0),
+        (SERVERS, SERVERS, SERVICES, ORGANISATIONS),
     ] {
-        let sent = report(in_flight, observations, services);
+        let sent = report(in_flight, observations, services, organisations);
         let received = send(&sent);
-        let size = format!("{in_flight}, {observations}, {services}");
+        let size = format!("{in_flight}, {observations}, {services}, {organisations}");
         let mut load = PeerLoad::default();
         for part in &received {
             assert!(load.accept_sequence(part), "{size}: {}", part.sequence);
@@ -83,11 +94,34 @@
         assert_eq!(leaving, sent.leaving, "{size}");
         let counts: Vec<_> = received.iter().flat_map(|r| r.counts.clone()).collect();
         assert_eq!(counts, sent.counts, "{size}");
+        let quotas: Vec<_> = received.iter().flat_map(|r| r.quotas.clone()).collect();
+        assert_eq!(quotas, sent.quotas, "{size}");
     }
 }
 
 #[test]
 fn short_reports_are_sent_as_they_are() {
-    let sent = report(3, 5, 4);
+    let sent = report(3, 5, 4, 2);
     assert_eq!(send(&sent), [sent]);
 }
+
+/// Guards against longer reports in fleets without organisations: only the length of the empty list
+/// is added. The last field of a report is encoded last, so the bytes before it are unchanged.
+#[test]
+fn a_report_without_organisations_grows_by_one_byte() {
+    let report = report(3, 5, 4, 0);
+    let encoded = codec::encode(&report).expect("encoded");
+    let without_list = codec::encode(&(
+        report.origin,
+        report.sequence,
+        report.status,
+        report.complete,
+        &report.in_flight,
+        &report.evidence,
+        &report.leaving,
+        &report.counts,
+        report.store,
+    ));
+    let without_list = without_list.expect("encoded");
+    assert_eq!(encoded[..encoded.len() - 1], without_list[..]);
+}
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 use corianderworks_decision::clock::SystemClock;
 use corianderworks_decision::edge::budget::RetryBudgetBounds;
+use corianderworks_decision::edge::quota::QuotaBounds;
 use corianderworks_decision::edge::routes::{
     CallerLimits, ConfigVersion, Configuration, Idempotency, Route, WeightedService,
 };
@@ -301,6 +302,7 @@
             extra: 60.0,
             window: Duration::from_secs(10),
         },
+        quota: QuotaBounds::default(),
         capacity_millicores: 200,
         memory_bytes: 160_000_000,
         apply_timeout: Duration::from_secs(2),
