--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -12,6 +12,8 @@
 pub mod load_balancer;
 pub mod organisations;
 pub mod peer_load;
+pub mod quota;
+pub mod report_coverage;
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -16,7 +16,7 @@
 use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::run::RequestRun;
-use crate::state::Edge;
+use crate::state::{Edge, QuotaGuard};
 
 /// Minimum `retry-after` time of requests that are refused for other reasons than admission
 /// control; jitter only adds to it.
@@ -49,6 +49,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) version: ConfigVersion,
     pub(crate) caller: CallerIdentity,
+    /// Token of the organisation's quota; `None` if it has no limit.
+    pub(crate) quota: Option<Arc<QuotaGuard>>,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
     /// Time at which the head was read.
@@ -57,6 +59,48 @@
     pub(crate) deadline: Instant,
 }
 
+impl Routing {
+    /// Sets whether the request may have been run; if not, its end gives the quota token back.
+    pub(crate) fn set_quota_used(&self, is_used: bool) {
+        if let Some(quota) = &self.quota {
+            quota.set_used(is_used);
+        }
+    }
+}
+
+/// Refusal of a request that is not forwarded.
+struct Refusal {
+    reason: Reason,
+    /// Organisation and retry time of a request that exceeds a quota.
+    quota: Option<(Arc<str>, Duration)>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            quota: None,
+        }
+    }
+}
+
+impl Refusal {
+    fn organisation(&self) -> Option<&str> {
+        self.quota.as_ref().map(|(name, _)| &**name)
+    }
+
+    fn into_reply(self, request_id: Option<Bytes>) -> Reply {
+        match self.quota {
+            Some((_, retry_after)) => Reply::Local {
+                reason: self.reason,
+                retry_after: Some(retry_after),
+                request_id,
+            },
+            None => reply_without_attempt(self.reason, request_id),
+        }
+    }
+}
+
 /// Response to a request and the reason that is logged and counted for it.
 #[derive(Debug)]
 pub(crate) struct Outcome {
@@ -72,15 +116,20 @@
     let head = request.head.clone();
     let received_at = request.received_at;
     let mut disconnect_logger = DisconnectLogger::new(&edge, &request);
-    let (outcome, attempt_history) = match routing(&edge, &request) {
+    let (outcome, run) = match routing(&edge, &request) {
         Ok(routing) => {
             let mut run = RequestRun::new(edge.clone(), routing, request);
             let outcome = run.run().await;
-            (outcome, Some(run))
+            if outcome.reason.means_not_run() {
+                run.routing().set_quota_used(false);
+            }
+            (outcome, Ok(run))
         }
-        Err(reason) => {
-            let reply = reply_without_attempt(reason, request_id);
-            (Outcome { reason, reply }, None)
+        Err(refusal) => {
+            let organisation = refusal.organisation().map(str::to_owned);
+            let reason = refusal.reason;
+            let reply = refusal.into_reply(request_id);
+            (Outcome { reason, reply }, Err(organisation))
         }
     };
     disconnect_logger.completed = true;
@@ -89,7 +138,7 @@
         &head,
         received_at,
         &outcome,
-        attempt_history.as_ref(),
+        run.as_ref().map_err(Option::as_deref),
     );
     outcome.reply
 }
@@ -160,7 +209,7 @@
     head: &RequestHead,
     received_at: Instant,
     outcome: &Outcome,
-    run: Option<&RequestRun>,
+    run: Result<&RequestRun, Option<&str>>,
 ) {
     let took = received_at.elapsed();
     edge.metrics.request(outcome.reason, took);
@@ -171,6 +220,8 @@
     let Some(omitted) = limiter.try_acquire(edge.clock.now()) else {
         return;
     };
+    let refused_organisation = run.err().flatten();
+    let run = run.ok();
     let status = match &outcome.reply {
         Reply::Upstream { response, .. } => response.head.status,
         Reply::Local { reason, .. } => reason.status().0,
@@ -186,7 +237,8 @@
         priority = run.map(|r| r.routing().priority),
         organisation = run
             .and_then(|r| r.routing().caller.organisation())
-            .map(|o| &*o.name),
+            .map(|o| &*o.name)
+            .or(refused_organisation),
         servers = run.map(RequestRun::attempt_history),
         reason = outcome.reason.name(),
         status,
@@ -203,7 +255,7 @@
 
 /// Determines the route, the service and the deadline of a request, and counts the request for the
 /// retry budget of the service.
-fn routing(edge: &Edge, request: &CallerRequest) -> Result<Routing, Reason> {
+fn routing(edge: &Arc<Edge>, request: &CallerRequest) -> Result<Routing, Refusal> {
     let checked = key_check::configuration(edge).ok_or(Reason::NoConfiguration)?;
     let configuration = &checked.configuration;
     let head = &request.head;
@@ -224,8 +276,9 @@
     });
     let deadline = request.received_at + time_limit;
     if !edge.admits_request(deadline.saturating_duration_since(Instant::now())) {
-        return Err(Reason::Stopping);
+        return Err(Reason::Stopping.into());
     }
+    let quota = admit_to_quota(edge, &caller)?;
     edge.lock_state()
         .budget
         .record_request(service, edge.clock.now());
@@ -236,10 +289,25 @@
         priority: priority(&caller, route),
         caller,
         received_at: request.received_at,
+        quota,
         deadline,
     })
 }
 
+fn admit_to_quota(
+    edge: &Arc<Edge>,
+    caller: &CallerIdentity,
+) -> Result<Option<Arc<QuotaGuard>>, Refusal> {
+    let Some(organisation) = caller.organisation() else {
+        return Ok(None);
+    };
+    edge.admit_to_quota(organisation)
+        .map_err(|retry_after| Refusal {
+            reason: Reason::Quota,
+            quota: Some((organisation.name.clone(), retry_after)),
+        })
+}
+
 fn priority(caller: &CallerIdentity, route: &Route) -> u32 {
     let organisation = caller.organisation();
     let own_priority = organisation.and_then(|organisation| organisation.priority);
