Let requests of lower priority wait at the daemon while a service is full

Nothing ranked the requests of a service: what was sent waited in the queue of a server, which knows no priorities. A burst of long look-ups therefore made urgent requests late.

While nine tenths of the slots of a service are taken by the fleet's view, a daemon sends only requests of the highest priority at once. Others wait in its queue, by priority and then by time left, those that are late for their objective last. Each daemon starts its share of the requests that fill the slots which become free, by the completions and the load in the reports, and counts its urgent requests towards it, so that the daemons don't all send at once. No message is added. One in twenty completions is reserved for the request that has waited longest, so that no priority starves; an organisation gets at most half of the queue. The queue holds 256 requests and a sixteenth of the VM's memory. Requests that can't be served in their time by the forecast are refused at once. Requests are removed when their caller leaves, and refused as not run at exit.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -14,3 +14,4 @@
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
+pub mod waiting;
--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -475,6 +475,19 @@
         requests >= accepting.count() as f64
     }
 
+    /// Returns the number of requests that all daemons have in flight at the servers of a service
+    /// that accept requests, and the number of slots of these servers.
+    pub fn service_load(&self, servers: &Servers, service: &str, now: Duration) -> (u32, u32) {
+        let accepting = servers
+            .of_service(service)
+            .filter(|(_, s)| s.accepts_requests(now));
+        accepting.fold((0, 0), |(in_flight, slots), (key, server)| {
+            let state = self.states.get(key);
+            let at_server = state.map_or(0, ServerState::in_flight);
+            (in_flight + at_server, slots + server.entry.slots)
+        })
+    }
+
     /// Counts the servers of a service that accept requests by their usage.
     pub fn server_use(&self, servers: &Servers, service: &str, now: Duration) -> ServerUse {
         let mut server_use = ServerUse::default();
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -134,6 +134,8 @@
     pub organisations: Option<Organisations>,
     hosts: HashMap<String, Vec<Arc<Route>>>,
     route_names: HashSet<Arc<str>>,
+    /// Highest priority of any request of each service; 0 is the highest.
+    highest_priorities: HashMap<Arc<str>, u32>,
 }
 
 impl Configuration {
@@ -153,23 +155,53 @@
         }
         let route_names = by_host.values().flatten().map(|r| r.name.clone()).collect();
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Self {
+        let mut configuration = Self {
             version,
             limits,
             services,
             organisations: None,
             hosts: by_host,
             route_names,
-        }
+            highest_priorities: HashMap::new(),
+        };
+        configuration.update_highest_priorities();
+        configuration
     }
 
     /// Restricts the configuration to requests with keys of these organisations, except on public
     /// routes.
     pub fn with_organisations(mut self, organisations: Organisations) -> Self {
         self.organisations = Some(organisations);
+        self.update_highest_priorities();
         self
     }
 
+    /// Returns the highest priority that requests of a service may have, by its routes and the
+    /// organisations; 0 is the highest.
+    pub fn highest_priority(&self, service: &str) -> u32 {
+        self.highest_priorities.get(service).copied().unwrap_or(0)
+    }
+
+    fn update_highest_priorities(&mut self) {
+        let organisations = self.organisations.iter().flat_map(Organisations::iter);
+        let priorities: Vec<Option<u32>> = organisations.map(|o| o.priority).collect();
+        let of_organisations = priorities.iter().flatten().copied().min();
+        let are_all_ranked = !priorities.is_empty() && priorities.iter().all(Option::is_some);
+        let mut highest: HashMap<Arc<str>, u32> = HashMap::new();
+        for route in self.hosts.values().flatten() {
+            // The priority of an organisation replaces that of the route.
+            let of_route = (route.is_public || !are_all_ranked).then_some(route.priority);
+            let Some(priority) = of_route.into_iter().chain(of_organisations).min() else {
+                continue;
+            };
+            for part in &route.split {
+                let entry = highest.entry(part.service.clone()).or_insert(priority);
+                *entry = priority.min(*entry);
+            }
+        }
+        self.highest_priorities = highest;
+    }
+
     /// Returns the route of a host with the longest prefix of `path`. Ignores a port in `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = strip_port(host).to_ascii_lowercase();
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -50,6 +50,8 @@
     pub(crate) caller: CallerIdentity,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
+    /// Highest priority that requests of the service may have.
+    pub(crate) highest_priority: u32,
     /// Time at which the head was read.
     pub(crate) received_at: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -163,6 +165,9 @@
 ) {
     let took = received_at.elapsed();
     edge.metrics.request(outcome.reason, took);
+    if let Some(run) = run.filter(|_| outcome.reason.status().0 == 503) {
+        edge.metrics.refusal(outcome.reason, run.routing().priority);
+    }
     let limiter = match outcome.reason {
         Reason::Served => &edge.served_log_limit,
         _ => &edge.failed_log_limit,
@@ -187,6 +192,7 @@
             .and_then(|r| r.routing().caller.organisation())
             .map(|o| &*o.name),
         servers = run.map(RequestRun::attempt_history),
+        queued_ms = run.map(|r| r.queued_for().as_millis() as u64),
         reason = outcome.reason.name(),
         status,
         took_ms = took.as_millis() as u64,
@@ -232,6 +238,7 @@
         service: service.clone(),
         version: configuration.version,
         priority: priority(&caller, route),
+        highest_priority: configuration.highest_priority(service),
         caller,
         received_at: request.received_at,
         deadline,
--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -87,6 +87,11 @@
         })
     }
 
+    /// Returns the size of all names and values, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.0.iter().map(|h| h.name.len() + h.value.len()).sum()
+    }
+
     /// Returns the values of all headers of a name in the order received; `name` is in lower case.
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.0
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod state;
 pub mod store_sync;
 pub mod upstream;
+pub mod waiting;
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an edge daemon, exported in the Prometheus text format.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,14 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0,
 ];
 
+/// Highest number in the label of a priority; less urgent ones are counted there as well. Bounds the
+/// number of series.
+const PRIORITY_LABEL_MAX: u32 = 7;
+
+fn priority_label(priority: u32) -> KeyValue {
+    KeyValue::new("priority", i64::from(priority.min(PRIORITY_LABEL_MAX)))
+}
+
 /// Error while setting up or exporting metrics, with the text of its cause.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot set up metrics: {0}")]
@@ -34,6 +43,9 @@
     store_calls: Counter<u64>,
     state: Gauge<u64>,
     servers: Gauge<u64>,
+    queue_length: Gauge<u64>,
+    queue_time: Histogram<f64>,
+    refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -64,11 +76,18 @@
             attempt_time: meter
                 .f64_histogram("corianderworks_edge_attempt_time")
                 .with_unit("s")
-                .with_boundaries(bounds)
+                .with_boundaries(bounds.clone())
                 .build(),
             store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
             state: meter.u64_gauge("corianderworks_edge_state").build(),
             servers: meter.u64_gauge("corianderworks_edge_servers").build(),
+            queue_length: meter.u64_gauge("corianderworks_edge_queue_length").build(),
+            queue_time: meter
+                .f64_histogram("corianderworks_edge_queue_time")
+                .with_unit("s")
+                .with_boundaries(bounds)
+                .build(),
+            refusals: meter.u64_counter("corianderworks_edge_refusals").build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -93,6 +112,34 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a request of a route that was refused without having run.
+    pub fn refusal(&self, reason: Reason, priority: u32) {
+        let labels = [
+            KeyValue::new("reason", reason.name()),
+            priority_label(priority),
+        ];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Records the time for which a request waited in the queue, zero if it didn't.
+    pub fn queued(&self, priority: u32, time: Duration) {
+        self.queue_time
+            .record(time.as_secs_f64(), &[priority_label(priority)]);
+    }
+
+    /// Sets the gauges of the number of waiting requests by priority. Priorities that are missing
+    /// have none.
+    pub fn set_queue_lengths(&self, lengths: &BTreeMap<u32, usize>) {
+        let mut labelled = [0; PRIORITY_LABEL_MAX as usize + 1];
+        for (priority, length) in lengths {
+            labelled[(*priority).min(PRIORITY_LABEL_MAX) as usize] += *length as u64;
+        }
+        for (priority, length) in labelled.into_iter().enumerate() {
+            let label = priority_label(priority as u32);
+            self.queue_length.record(length, &[label]);
+        }
+    }
+
     /// Sets the gauge of a value of the daemon's state, such as the number of daemons that are up.
     pub fn set_gauge(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -24,6 +24,9 @@
     ServersPaused,
     /// The request is unlikely to finish before its deadline.
     NoCapacity,
+    /// The service is nearly full, and the queue of this daemon or the part of it that one
+    /// organisation may take is full.
+    QueueFull,
     /// Backend servers refused the request because they were at capacity.
     ServersFull,
     /// No connection to a backend server could be opened.
@@ -63,6 +66,7 @@
             Self::NoServer => "no-server",
             Self::ServersPaused => "servers-paused",
             Self::NoCapacity => "no-capacity",
+            Self::QueueFull => "queue-full",
             Self::ServersFull => "servers-full",
             Self::Unreachable => "unreachable",
             Self::Stopping => "stopping",
@@ -94,6 +98,7 @@
             | Self::NoServer
             | Self::ServersPaused
             | Self::NoCapacity
+            | Self::QueueFull
             | Self::ServersFull
             | Self::Unreachable
             | Self::Stopping
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -24,6 +24,7 @@
     ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseError, Target,
     UpstreamResponse,
 };
+use crate::waiting::Turn;
 
 /// Multiple of the route's typical latency after which an attempt counts as overdue. Latency varies
 /// with the amount of work: the slowest 1 % of requests take about four times the mean.
@@ -67,6 +68,8 @@
     /// Whether a server may have run the request.
     may_have_run: bool,
     attempt_history: Vec<String>,
+    /// Time for which the request waited in the queue of this daemon.
+    queued_for: Duration,
 }
 
 enum Step {
@@ -100,11 +103,21 @@
             last_end: None,
             may_have_run: false,
             attempt_history: Vec::new(),
+            queued_for: Duration::ZERO,
         }
     }
 
-    /// Applies admission control, then runs attempts until there is a response for the caller.
+    /// Waits for the turn of the request and applies admission control, then runs attempts until
+    /// there is a response for the caller.
     pub(crate) async fn run(&mut self) -> Outcome {
+        if let Turn::Refuse {
+            reason,
+            retry_after: time,
+        } = self.wait_for_turn().await
+        {
+            let time = time.unwrap_or_else(|| retry_after(RETRY_AFTER_BASE, jitter()));
+            return self.refuse(reason, time);
+        }
         let first = self.choose(Candidates::Except(&[]));
         let remaining = self.remaining();
         match admit(
@@ -152,6 +165,22 @@
         }
     }
 
+    async fn wait_for_turn(&mut self) -> Turn {
+        let began = Instant::now();
+        let bytes = self.outgoing.body.len() + self.outgoing.head.headers.bytes();
+        let turn = self.edge.wait_for_turn(&self.routing, bytes).await;
+        self.queued_for = began.elapsed();
+        self.edge
+            .metrics
+            .queued(self.routing.priority, self.queued_for);
+        turn
+    }
+
+    /// Returns the time for which the request waited in the queue of this daemon.
+    pub(crate) fn queued_for(&self) -> Duration {
+        self.queued_for
+    }
+
     /// Returns the routing decision of the request.
     pub(crate) fn routing(&self) -> &Routing {
         &self.routing
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -28,6 +28,7 @@
 use crate::logs::LineRateLimiter;
 use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
+use crate::waiting::WaitingRequests;
 
 /// Request bodies may take the memory of the VM divided by this number. What they and the responses
 /// leave is for connections and the state of the fleet.
@@ -51,6 +52,8 @@
     pub load_balancer: LoadBalancer,
     /// Share of their attempts that the services accept.
     pub acceptance: Acceptance,
+    /// Requests that wait at this daemon.
+    pub waiting: WaitingRequests,
     /// Budget for retries, shared by all daemons.
     pub budget: RetryBudget,
     /// This daemon and the other daemons that it knows of.
@@ -197,6 +200,7 @@
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
             acceptance: Acceptance::default(),
+            waiting: WaitingRequests::new(settings.memory_bytes),
             budget,
             fleet,
             peer_load: PeerLoad::default(),
@@ -450,11 +454,15 @@
             servers,
             load_balancer,
             acceptance,
+            waiting,
             ..
         } = &mut *state;
         if let Some(server) = servers.get(key) {
             load_balancer.observe((key, server), evidence, now);
             acceptance.observe(&server.entry.service, key, evidence, now);
+            if !evidence.is_negative() {
+                waiting.record_completion(&server.entry.service, now);
+            }
             let tag = server.entry.tag();
             state.pending_report.evidence.push((tag, evidence));
         }
@@ -560,6 +568,7 @@
             let server_use = state.load_balancer.server_use(&state.servers, service, now);
             self.metrics.set_server_use(service, server_use);
         }
+        self.metrics.set_queue_lengths(&state.waiting.lengths());
         drop(state);
         self.metrics.prometheus_text()
     }
