--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -17,3 +17,4 @@
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
+pub mod waiting;
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -53,6 +53,8 @@
     pub(crate) quota: Option<Arc<QuotaGuard>>,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
+    /// Highest priority that requests of the service may have.
+    pub(crate) highest_priority: u32,
     /// Time at which the head was read.
     pub(crate) received_at: Instant,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -213,6 +215,11 @@
 ) {
     let took = received_at.elapsed();
     edge.metrics.request(outcome.reason, took);
+    let refused_organisation = run.err().flatten();
+    let run = run.ok();
+    if let Some(run) = run.filter(|_| outcome.reason.status().0 == 503) {
+        edge.metrics.refusal(outcome.reason, run.routing().priority);
+    }
     let limiter = match outcome.reason {
         Reason::Served => &edge.served_log_limit,
         _ => &edge.failed_log_limit,
@@ -220,8 +227,6 @@
     let Some(omitted) = limiter.try_acquire(edge.clock.now()) else {
         return;
     };
-    let refused_organisation = run.err().flatten();
-    let run = run.ok();
     let status = match &outcome.reply {
         Reply::Upstream { response, .. } => response.head.status,
         Reply::Local { reason, .. } => reason.status().0,
@@ -240,6 +245,7 @@
             .map(|o| &*o.name)
             .or(refused_organisation),
         servers = run.map(RequestRun::attempt_history),
+        queued_ms = run.map(|r| r.queued_for().as_millis() as u64),
         reason = outcome.reason.name(),
         status,
         took_ms = took.as_millis() as u64,
@@ -287,6 +293,7 @@
         service: service.clone(),
         version: configuration.version,
         priority: priority(&caller, route),
+        highest_priority: configuration.highest_priority(service),
         caller,
         received_at: request.received_at,
         quota,
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -34,6 +34,7 @@
 use crate::logs::LineRateLimiter;
 use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
+use crate::waiting::WaitingRequests;
 
 /// Request bodies may take the memory of the VM divided by this number. What they and the responses
 /// leave is for connections and the state of the fleet.
@@ -63,6 +64,8 @@
     pub load_balancer: LoadBalancer,
     /// Share of their attempts that the services accept.
     pub acceptance: Acceptance,
+    /// Requests that wait at this daemon.
+    pub waiting: WaitingRequests,
     /// Budget for retries, shared by all daemons.
     pub budget: RetryBudget,
     /// Quotas of the organisations, shared by all daemons.
@@ -231,6 +234,7 @@
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
             acceptance: Acceptance::default(),
+            waiting: WaitingRequests::new(settings.memory_bytes),
             budget,
             quotas,
             fleet,
@@ -514,11 +518,15 @@
             servers,
             load_balancer,
             acceptance,
+            waiting,
             ..
         } = &mut *state;
         if let Some(server) = servers.get(key) {
             load_balancer.observe((key, server), evidence, now);
             acceptance.observe(&server.entry.service, key, evidence, now);
+            if !evidence.is_negative() {
+                waiting.record_completion(&server.entry.service, now);
+            }
             let tag = server.entry.tag();
             state.pending_report.evidence.push((tag, evidence));
         }
@@ -661,6 +669,7 @@
                 .set_gauge("key_permission_remaining_ms", left_ms);
         }
         let (most_refused, others) = state.quotas.most_refused(ORGANISATION_METRICS_MAX);
+        self.metrics.set_queue_lengths(&state.waiting.lengths());
         drop(state);
         self.metrics.set_quota_refused(&most_refused, others);
         self.metrics.prometheus_text()
