Forecast the wait of queued requests by the work that was sent

The forecast counted requests that were sent at once as urgent ones, whatever their priority, so that it expected too little of the service at the begin of a burst. It also fell to almost nothing when reports were lost. It now counts priorities apart, and takes the completions that busy slots must have if far fewer are reported.

--- a/crates/corianderworks_decision/src/edge/waiting.rs
+++ b/crates/corianderworks_decision/src/edge/waiting.rs
@@ -32,8 +32,10 @@
 const RESERVED_SHARE: f64 = 0.05;
 /// Time constant of the rate of completions.
 const COMPLETION_DECAY: Duration = Duration::from_millis(1_000);
-/// Time of completions that the slots and the typical latency stand for, until enough are seen.
-const COMPLETION_PRIOR: Duration = Duration::from_millis(200);
+/// Share of the expected completions below which the reported ones are not relied on.
+const REPORTED_SHARE_MIN: f64 = 0.5;
+/// Weight of a new sample in the moving average of the typical latency of sent requests.
+const LATENCY_GAIN: f64 = 0.1;
 /// Time constant of the daemon's own shares of urgent and waiting requests, which are few.
 const OWN_DECAY: Duration = Duration::from_millis(5_000);
 /// Bounds of the share that a daemon has saved up or overdrawn, in requests. A daemon that was
@@ -157,6 +159,7 @@
     handle: H,
     /// Latest time at which it is sent.
     send_by: Duration,
+    typical_latency: Duration,
     organisation: Option<Arc<str>>,
     bytes: usize,
 }
@@ -184,39 +187,49 @@
 struct ServiceShare {
     /// Completions of all daemons.
     completions: Rate,
-    /// Own requests that were sent at once, and those that were sent after waiting.
+    /// Own requests of the highest priority that were sent, and others.
     urgent: Rate,
-    waited: Rate,
+    others: Rate,
     /// Requests that this daemon may send, negative if it has sent more.
     credit: f64,
     /// Same for the requests that have waited longest.
     reserved_credit: f64,
     updated_at: Duration,
-    /// Typical latency of the route of the last request that arrived.
-    typical_latency: Duration,
+    /// Moving average of the typical latency of the requests that this daemon has sent.
+    mean_latency_s: f64,
     /// Number of waiting requests.
     length: usize,
 }
 
 impl ServiceShare {
-    fn completions_per_s(&self, load: ServiceLoad, now: Duration) -> f64 {
-        let busy_slots = f64::from(load.in_flight.min(load.slots));
-        let prior_per_s = busy_slots / self.typical_latency.as_secs_f64().max(0.001);
-        let prior_s = COMPLETION_PRIOR.as_secs_f64();
+    /// Returns the number of requests per second that the service completes, as reported.
+    fn reported_per_s(&self, now: Duration) -> f64 {
         let count = self.completions.count_at(COMPLETION_DECAY, now);
-        (count + prior_per_s * prior_s) / (COMPLETION_DECAY.as_secs_f64() + prior_s)
+        count / COMPLETION_DECAY.as_secs_f64()
+    }
+
+    /// Returns the same for a forecast. If far fewer are reported than the busy slots must complete,
+    /// the reports are missing for the moment.
+    fn expected_per_s(&self, load: ServiceLoad, now: Duration) -> f64 {
+        let busy_slots = f64::from(load.in_flight.min(load.slots));
+        let expected_per_s = busy_slots / self.mean_latency_s.max(0.001);
+        let reported_per_s = self.reported_per_s(now);
+        match reported_per_s < REPORTED_SHARE_MIN * expected_per_s {
+            true => expected_per_s,
+            false => reported_per_s,
+        }
     }
 
     /// Returns the number of requests per second by which this daemon fills the slots that become
     /// free, including its urgent requests.
     fn rate_per_s(&self, load: ServiceLoad, now: Duration) -> f64 {
         let missing = TARGET_SHARE * f64::from(load.slots) - f64::from(load.in_flight);
-        let per_s = self.completions_per_s(load, now) + missing / CORRECTION_TIME.as_secs_f64();
+        let per_s = self.reported_per_s(now) + missing / CORRECTION_TIME.as_secs_f64();
         (per_s / load.daemons.max(1) as f64).max(0.0)
     }
 
     fn reserved_per_s(&self, load: ServiceLoad, now: Duration) -> f64 {
-        let per_s = self.completions_per_s(load, now);
+        let per_s = self.reported_per_s(now);
         RESERVED_SHARE * per_s / load.daemons.max(1) as f64
     }
 
@@ -231,17 +244,24 @@
         self.reserved_credit = reserved_credit.min(1.0);
     }
 
-    fn record_urgent(&mut self, now: Duration) {
-        self.urgent.record(OWN_DECAY, now);
-        self.credit = (self.credit - 1.0).max(CREDIT_MIN);
+    fn record_sent(&mut self, is_urgent: bool, typical_latency: Duration, now: Duration) {
+        match is_urgent {
+            true => self.urgent.record(OWN_DECAY, now),
+            false => self.others.record(OWN_DECAY, now),
+        }
+        let latency_s = typical_latency.as_secs_f64();
+        match self.mean_latency_s > 0.0 {
+            true => self.mean_latency_s += (latency_s - self.mean_latency_s) * LATENCY_GAIN,
+            false => self.mean_latency_s = latency_s,
+        }
     }
 
     /// Returns the expected time until the request behind `ahead` others is sent.
     fn expected_wait(&self, ahead: usize, load: ServiceLoad, now: Duration) -> Duration {
-        let waited = self.waited.count_at(OWN_DECAY, now) + 1.0;
+        let others = self.others.count_at(OWN_DECAY, now) + 1.0;
         let urgent = self.urgent.count_at(OWN_DECAY, now) + 1.0;
-        let per_s = self.completions_per_s(load, now) / load.daemons.max(1) as f64;
-        let usable_per_s = per_s * waited / (waited + urgent);
+        let per_s = self.expected_per_s(load, now) / load.daemons.max(1) as f64;
+        let usable_per_s = per_s * others / (others + urgent);
         let per_s = usable_per_s.max(self.reserved_per_s(load, now)).max(0.01);
         Duration::from_secs_f64((ahead + 1) as f64 / per_s)
     }
@@ -317,11 +337,14 @@
     {
         let bounds = self.bounds;
         let share = self.shares.entry(request.service.clone()).or_default();
-        share.typical_latency = request.typical_latency;
+        if share.mean_latency_s == 0.0 {
+            share.mean_latency_s = request.typical_latency.as_secs_f64();
+        }
         share.update(load, now);
         let is_urgent = request.priority <= request.highest_priority;
         if is_urgent || (share.length == 0 && !load.is_nearly_full()) {
-            share.record_urgent(now);
+            share.record_sent(is_urgent, request.typical_latency, now);
+            share.credit = (share.credit - 1.0).max(CREDIT_MIN);
             return (WaitDecision::Send, None);
         }
         let send_by = request.deadline.saturating_sub(request.typical_latency);
@@ -374,6 +397,7 @@
         let waiting = Waiting {
             handle: handle(),
             send_by,
+            typical_latency: request.typical_latency,
             organisation: request.organisation,
             bytes: request.bytes,
         };
@@ -413,7 +437,6 @@
         while sends_all || share.credit >= 1.0 {
             let Some(id) = ids.next() else { break };
             share.credit -= 1.0;
-            share.waited.record(OWN_DECAY, now);
             send.push(id);
         }
         share.credit = share.credit.max(CREDIT_MIN);
@@ -421,12 +444,13 @@
             && let Some(id) = ids.min()
         {
             share.reserved_credit = 0.0;
-            share.waited.record(OWN_DECAY, now);
             send.push(id);
         }
         for id in send {
-            if let Some(handle) = self.leave(id) {
-                released.push((handle, WaitDecision::Send));
+            if let Some(waiting) = self.remove(id) {
+                let share = self.shares.entry(service.clone()).or_default();
+                share.record_sent(false, waiting.typical_latency, now);
+                released.push((waiting.handle, WaitDecision::Send));
             }
         }
         released
@@ -434,13 +458,17 @@
 
     /// Removes a request, whose caller may have left. Returns its handle if it was waiting.
     pub fn leave(&mut self, id: WaitId) -> Option<H> {
+        self.remove(id).map(|waiting| waiting.handle)
+    }
+
+    fn remove(&mut self, id: WaitId) -> Option<Waiting<H>> {
         let key = self.keys.remove(&id)?;
         let waiting = self.waiting.remove(&key)?;
         self.bytes -= waiting.bytes;
         if let Some(share) = self.shares.get_mut(&key.service) {
             share.length -= 1;
         }
-        Some(waiting.handle)
+        Some(waiting)
     }
 
     /// Returns the requests of a service that can't have a response by their deadline any more.
