--- a/crates/corianderworks_decision/tests/edge_priorities.rs
+++ b/crates/corianderworks_decision/tests/edge_priorities.rs
@@ -646,7 +646,17 @@
     assert_no_worse_off_than_without_ranks(ReportLoss::Domain(from, to));
 }
 
-/// Prints the processor time of the queue at the bound of a daemon.
+/// Returns the resident memory of this process, in bytes.
+fn resident_bytes() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of this process");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let number = line.and_then(|l| l.split_whitespace().next());
+    let kib: usize = number.expect("a number").parse().expect("a number");
+    kib * 1024
+}
+
+/// Prints the processor time and the memory of the queue at the bound of a daemon. Heads and bodies
+/// are held by the requests and not by the queue.
 #[test]
 #[ignore = "prints figures and checks nothing"]
 fn measure_queue_at_its_bound() {
@@ -658,11 +668,20 @@
         length: 256,
         bytes: 10_000_000,
     };
-    let mut queue = WaitQueue::new(bounds);
-    for number in 0..256 {
-        let request = request(2, 10_000);
-        queue.decide(request, load, NOW, 0.5, || number);
-    }
+    let full_queue = || {
+        let mut queue = WaitQueue::new(bounds);
+        for number in 0..256 {
+            let request = request(2, 10_000);
+            queue.decide(request, load, NOW, 0.5, || number);
+        }
+        queue
+    };
+    const QUEUES: usize = 400;
+    let before = resident_bytes();
+    let mut queues: Vec<_> = (0..QUEUES).map(|_| full_queue()).collect();
+    let bytes = (resident_bytes() - before) / QUEUES;
+    println!("{bytes} bytes of memory per queue");
+    let queue = &mut queues[0];
     const CALLS: u32 = 1_000;
     let measure = |name: &str, call: &mut dyn FnMut()| {
         let started = std::time::Instant::now();
