Test of quotas: keep the number of reporting daemons up to date

Cause: with retries of refused requests that wait longer, the test refused_requests_give_their_token_back takes 1.8 s. Without the task for the peers, a daemon takes 1.3 s without an update for a pause of its process and uses only its own share, so the test got 429.

Change: the test updates the number every 100 ms, as that task does. All checks stay.

--- a/crates/corianderworks_edge/tests/quotas.rs
+++ b/crates/corianderworks_edge/tests/quotas.rs
@@ -37,11 +37,21 @@
     daemon
         .edge
         .install_configuration(Arc::new(configuration), None, "test");
-    daemon
-        .edge
-        .lock_state()
-        .quotas
-        .set_reporting_daemons(1, Some(1), daemon.edge.clock.now());
+    let edge = daemon.edge.clone();
+    let update = move || {
+        let now = edge.clock.now();
+        let quotas = &mut edge.lock_state().quotas;
+        quotas.set_reporting_daemons(1, Some(1), now);
+    };
+    update();
+    // The task for the peers, which doesn't run here, does the same; a longer time without it counts
+    // as a pause of the process.
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            update();
+        }
+    });
     daemon
 }
 
