Decide the share of requests that leaves a failure domain

Cause: a server in another domain costs 0.8 service times for each request by itself, whatever the load of the domains, the size of the response and the time to get there.

LoadBalancer::choose_in takes the destination; choose keeps the fixed cost. Nothing in the daemon uses it yet.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod budget;
+pub mod domains;
 pub mod fleet;
 pub mod load_balancer;
 pub mod organisations;
--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -30,6 +30,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
+use super::domains::{Destination, DomainLoad};
 use super::routes::Route;
 use super::servers::{Server, ServerKey, Servers};
 
@@ -120,6 +121,12 @@
 const PROBE_OVERDUE: Duration = Duration::from_millis(2_000);
 /// Cost of a server in another failure domain, in typical service times.
 const OTHER_DOMAIN_COST: f64 = 0.8;
+/// Cost of a server outside the domain that a request should go to, in typical service times. Some
+/// more than the fixed cost: requests still leave if the wait at all servers of the domain is long.
+const WRONG_DOMAIN_COST: f64 = 1.0;
+/// Cost of the own domain for a request that should leave it: less, so that the request takes a slot
+/// that has just become free.
+const LEFT_DOMAIN_COST: f64 = 0.4;
 /// Service time factor during a server's cold start.
 const COLD_FACTOR: f64 = 2.0;
 /// Range of the random cost that distributes requests over equal servers, in typical service
@@ -327,6 +334,8 @@
 struct RouteLatency {
     mean_s: f64,
     samples: f64,
+    /// Moving average of the sizes of its responses; zero before the first one.
+    mean_bytes: f64,
 }
 
 /// Recent requests to all servers of a service.
@@ -519,7 +528,23 @@
         Duration::from_secs_f64(sum_s / (ROUTE_PRIOR_SAMPLES + samples))
     }
 
-    /// Discards the latencies of routes that are no longer configured.
+    /// Records the size of the body of a response.
+    pub fn record_response_bytes(&mut self, route: &Route, bytes: u64) {
+        let sizes = self.routes.entry(route.name.clone()).or_default();
+        let gain = match sizes.mean_bytes > 0.0 {
+            true => ROUTE_LATENCY_GAIN,
+            false => 1.0,
+        };
+        sizes.mean_bytes += (bytes as f64 - sizes.mean_bytes) * gain;
+    }
+
+    /// Returns the mean size of the bodies of a route's responses, or 0 if none is known.
+    pub fn typical_response_bytes(&self, route: &Route) -> u64 {
+        let measured = self.routes.get(&route.name);
+        measured.map_or(0, |r| r.mean_bytes as u64)
+    }
+
+    /// Discards the latencies and sizes of routes that are no longer configured.
     pub fn retain_routes<F>(&mut self, is_configured: F)
     where
         F: Fn(&str) -> bool,
@@ -533,12 +558,28 @@
     }
 
     /// Chooses the candidate with the lowest expected cost, or `None` if no candidate accepts
-    /// requests. `jitter` returns numbers in 0..1.
+    /// requests. Servers of other domains have a fixed additional cost. `jitter` returns numbers in
+    /// 0..1.
     pub fn choose<F>(
         &self,
         servers: &Servers,
         query: Query<'_>,
         now: Duration,
+        jitter: F,
+    ) -> Option<Choice>
+    where
+        F: FnMut() -> f64,
+    {
+        self.choose_in(servers, query, &Destination::FixedCost, now, jitter)
+    }
+
+    /// Chooses like [`LoadBalancer::choose`], but prefers the servers of `destination`.
+    pub fn choose_in<F>(
+        &self,
+        servers: &Servers,
+        query: Query<'_>,
+        destination: &Destination,
+        now: Duration,
         mut jitter: F,
     ) -> Option<Choice>
     where
@@ -554,6 +595,7 @@
             .filter(|(k, s)| s.accepts_requests(now) && query.candidates.contains(*k));
         let costs = available.map(|(key, server)| {
             let (mut cost_s, choice) = self.cost(key, server, &query, mean_s, now);
+            cost_s += domain_cost(&server.entry.domain, query.domain, destination) * mean_s;
             let is_own_domain = &*server.entry.domain == query.domain;
             let spread = jitter();
             let is_due = self.is_due(key, is_own_domain, now, spread);
@@ -647,6 +689,39 @@
         }
     }
 
+    /// Returns the load of a service's servers by domain.
+    pub fn domain_loads(&self, servers: &Servers, service: &str, now: Duration) -> Vec<DomainLoad> {
+        let default_state = ServerState::default();
+        let mut loads: Vec<(DomainLoad, f64)> = Vec::new();
+        let of_service = servers.of_service(service);
+        for (key, server) in of_service.filter(|(_, s)| s.accepts_requests(now)) {
+            let state = self.states.get(key).unwrap_or(&default_state);
+            let is_healthy = 1.0 - state.failing_probability_at(now);
+            let domain = &server.entry.domain;
+            let index = loads.iter().position(|(l, _)| l.domain == *domain);
+            let index = index.unwrap_or_else(|| {
+                let empty = DomainLoad {
+                    domain: domain.clone(),
+                    slots: 0.0,
+                    in_flight: 0.0,
+                    relative_latency: 0.0,
+                };
+                loads.push((empty, 0.0));
+                loads.len() - 1
+            });
+            let (load, weights) = &mut loads[index];
+            load.slots += is_healthy * f64::from(server.entry.slots);
+            load.in_flight += is_healthy * f64::from(state.in_flight());
+            let samples = state.samples.min(SERVER_SAMPLES_MAX);
+            load.relative_latency += state.relative_latency * samples + SERVER_PRIOR_SAMPLES;
+            *weights += samples + SERVER_PRIOR_SAMPLES;
+        }
+        for (load, weights) in &mut loads {
+            load.relative_latency /= *weights;
+        }
+        loads.into_iter().map(|(load, _)| load).collect()
+    }
+
     /// Counts the servers of a service that accept requests by their usage.
     pub fn server_use(&self, servers: &Servers, service: &str, now: Duration) -> ServerUse {
         let mut server_use = ServerUse::default();
@@ -702,9 +777,6 @@
             false => FAILURE_COST_FINAL,
         };
         cost_s += failing_probability * failure_cost * mean_s;
-        if &*server.entry.domain != query.domain {
-            cost_s += OTHER_DOMAIN_COST * mean_s;
-        }
         let choice = Choice {
             key,
             expected_latency: Duration::from_secs_f64(service_s + wait_s),
@@ -720,6 +792,19 @@
     }
 }
 
+/// Returns the cost of a server in `domain` for a request of a daemon in `own_domain`, in typical
+/// service times.
+fn domain_cost(domain: &str, own_domain: &str, destination: &Destination) -> f64 {
+    match destination {
+        Destination::FixedCost if domain == own_domain => 0.0,
+        Destination::FixedCost => OTHER_DOMAIN_COST,
+        Destination::Own if domain == own_domain => 0.0,
+        Destination::Other(destination) if domain == &**destination => 0.0,
+        Destination::Other(_) if domain == own_domain => LEFT_DOMAIN_COST,
+        Destination::Own | Destination::Other(_) => WRONG_DOMAIN_COST,
+    }
+}
+
 /// Restricts the servers that may be chosen.
 #[derive(Debug, Clone, Copy)]
 pub enum Candidates<'a> {
