Quotas: keep to the recent demand when reports of others stop arriving

Cause: until daemons count each other as silent (1.3 s), both sides of a partition hear of fewer admissions and admit the whole rate each. A partition 3 s into a surge of 300 requests/s admitted 3198 of 3188 allowed requests in a simulated window of 5 s.

Change: for limits whose excess in that time is more than the tolerance, the probability of an admission is limited by the largest recent demand, until the bucket is three quarters full.

--- a/crates/corianderworks_decision/src/edge/quota.rs
+++ b/crates/corianderworks_decision/src/edge/quota.rs
@@ -66,6 +66,16 @@
 /// their reports arrive, for a request to be admitted in any case. Above 1 because demand that rises
 /// is noticed late.
 const TOKENS_PER_UNSEEN_REQUEST: f64 = 1.25;
+/// Time for which the largest demand at other daemons is remembered. Well over [`SILENT_AFTER`]: if
+/// the demand falls because of a partition, both sides would admit the whole rate until then, which
+/// came to 3,198 of 3,188 allowed requests in a simulated window.
+const PEAK_DEMAND_TIME: Duration = Duration::from_secs(6);
+/// Factor on the share of requests that the rate allows at the largest demand. Above 1 because that
+/// demand is higher than the mean by chance.
+const PEAK_MARGIN: f64 = 1.15;
+/// Share of a bucket above which the largest demand doesn't matter. The smaller side of a partition
+/// of a third reaches it after 1.15 s.
+const OPEN_SHARE: f64 = 0.75;
 /// Share of the tolerance that is added to the burst. It lets organisations with small limits send
 /// a few requests at a time without refusals; the rest is for late reports and partitions. With 0.4,
 /// a partition at the start of a surge came to 123 of 126 allowed requests in a simulated window, with
@@ -154,6 +164,8 @@
     /// Requests at other daemons, with a weight that decays over [`DEMAND_TIME`].
     peer_demand: f64,
     peer_demand_at: Duration,
+    /// Largest demand at other daemons, which decays over [`PEAK_DEMAND_TIME`].
+    peak_demand: f64,
     /// Tokens used in the current and in previous periods of [`USED_PERIOD`], latest first.
     used: [f64; USED_PERIODS],
     /// Tokens that the full bucket could not take, in the same periods.
@@ -175,6 +187,7 @@
             refilled_at_s: 0.0,
             peer_demand: 0.0,
             peer_demand_at: now,
+            peak_demand: 0.0,
             used: [0.0; USED_PERIODS],
             overflow: [0.0; USED_PERIODS],
             period_started_at: now,
@@ -218,6 +231,7 @@
         let whole = self.tokens + used + overflow;
         // Debt is not shared.
         let lost = (1.0 - kept_share) * whole.max(0.0);
+        self.peak_demand *= kept_share;
         let tokens = self.tokens + overflow - lost;
         self.overflow = [0.0; USED_PERIODS];
         self.overflow[0] = (tokens - supply.capacity(limit)).max(0.0);
@@ -251,8 +265,28 @@
         let age_s = now.saturating_sub(self.peer_demand_at).as_secs_f64();
         self.peer_demand_at = self.peer_demand_at.max(now);
         self.peer_demand *= (-age_s / DEMAND_TIME.as_secs_f64()).exp();
+        self.peak_demand *= (-age_s / PEAK_DEMAND_TIME.as_secs_f64()).exp();
         self.peer_demand
     }
+
+    fn add_peer_demand(&mut self, requests: f64, now: Duration) {
+        self.peer_demand = self.peer_demand(now) + requests;
+        self.peak_demand = self.peak_demand.max(self.peer_demand);
+    }
+
+    /// Returns the largest probability of an admission. It keeps to the recent demand while the
+    /// bucket is not nearly full, because a demand that falls may mean that reports no longer arrive.
+    fn admission_max(&self, limit: RateLimit, supply: Supply) -> f64 {
+        let excess = limit.rate_per_s * SILENT_AFTER.as_secs_f64();
+        let is_covered = excess <= supply.tolerance;
+        if is_covered || self.tokens >= OPEN_SHARE * supply.capacity(limit) {
+            return 1.0;
+        }
+        let supplied = limit.rate_per_s * supply.share * DEMAND_TIME.as_secs_f64();
+        // A peak of few requests is mostly chance.
+        let peak = self.peak_demand - self.peak_demand.sqrt();
+        PEAK_MARGIN * supplied / peak.max(f64::MIN_POSITIVE)
+    }
 }
 
 /// What a daemon may use of the rates at a time.
@@ -263,6 +297,8 @@
     share: f64,
     /// Integral of the share over the time since the start, in s.
     share_time_s: f64,
+    /// Allowed excess in requests.
+    tolerance: f64,
     /// Tokens added to every burst.
     extra_burst: f64,
     /// Time in which the largest debt is repaid at the full rate, in s.
@@ -476,6 +512,7 @@
             now,
             share: self.share,
             share_time_s: self.share_time_s,
+            tolerance: self.bounds.tolerance,
             extra_burst: self.bounds.tolerance * TOLERANCE_SHARE_IN_BURST,
             debt_time_s: self.bounds.window.as_secs_f64() / 2.0,
         }
@@ -509,7 +546,8 @@
         // Less than a token, such as the share of a daemon without reports, is the probability of an
         // admission.
         let needed = unseen.max(1.0);
-        if random * needed < bucket.tokens {
+        let is_within = random < bucket.admission_max(limit, supply);
+        if is_within && random * needed < bucket.tokens {
             bucket.deduct(1.0, limit, supply);
             bucket.admitted_total = bucket.admitted_total.wrapping_add(1);
             bucket.admitted_new = bucket.admitted_new.saturating_add(1);
@@ -590,7 +628,7 @@
             bucket.used_at = now;
             bucket.deduct(f64::from(admitted), limit, supply);
             let demand = f64::from(admitted.max(0)) + f64::from(reported.refused_new);
-            bucket.peer_demand = bucket.peer_demand(now) + demand;
+            bucket.add_peer_demand(demand, now);
         }
     }
 
