Let requests leave the failure domain by the share of their service

Cause: the daemon knew only the fixed cost of a server in another domain.

Change: choose_server takes the destination from edge/domains.rs, with the time left of the request and the mean size of its route's responses. Without another daemon that is up, and while the domain has room, the fixed cost holds. The optional bound crossingCostNsPerByte (default 100 ns of waiting time) is the cost of a byte that crosses domains. New metrics crossed{service,from,to} and leaving_share{service}; there is one series for each service and other domain.

Tests: platform decode and edge fleet pass. Not measured on deployments.

--- a/crates/corianderworks_decision/src/edge/domains.rs
+++ b/crates/corianderworks_decision/src/edge/domains.rs
@@ -327,12 +327,12 @@
         state.update(view);
     }
 
-    /// Discards the services that no longer have servers.
-    pub fn retain_services<F>(&mut self, is_listed: F)
+    /// Discards the services that are no longer configured.
+    pub fn retain_services<F>(&mut self, is_configured: F)
     where
         F: Fn(&str) -> bool,
     {
-        self.services.retain(|name, _| is_listed(name));
+        self.services.retain(|name, _| is_configured(name));
     }
 
     /// Returns the share of the requests of a service that leaves, in 0..=1.
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -34,6 +34,8 @@
     store_calls: Counter<u64>,
     state: Gauge<u64>,
     servers: Gauge<u64>,
+    crossed: Counter<u64>,
+    leaving_share: Gauge<f64>,
 }
 
 impl Metrics {
@@ -69,6 +71,8 @@
             store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
             state: meter.u64_gauge("corianderworks_edge_state").build(),
             servers: meter.u64_gauge("corianderworks_edge_servers").build(),
+            crossed: meter.u64_counter("corianderworks_edge_crossed").build(),
+            leaving_share: meter.f64_gauge("corianderworks_edge_leaving_share").build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -114,6 +118,23 @@
         }
     }
 
+    /// Counts an attempt at a backend server of another failure domain. There is one series for each
+    /// service and domain with servers of it, since a daemon is in one domain.
+    pub fn crossed(&self, service: &Arc<str>, from: &str, to: &Arc<str>) {
+        let labels = [
+            KeyValue::new("service", service.clone()),
+            KeyValue::new("from", from.to_owned()),
+            KeyValue::new("to", to.clone()),
+        ];
+        self.crossed.add(1, &labels);
+    }
+
+    /// Sets the gauge of the share of a service's requests that leave this daemon's domain.
+    pub fn set_leaving_share(&self, service: &Arc<str>, share: f64) {
+        let labels = [KeyValue::new("service", service.clone())];
+        self.leaving_share.record(share, &labels);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -20,8 +20,8 @@
 use crate::reply::Reply;
 use crate::state::{Edge, Lifecycle};
 use crate::upstream::{
-    ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseError, Target,
-    UpstreamResponse,
+    ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseBody, ResponseError,
+    Target, UpstreamResponse,
 };
 
 /// Multiple of the route's typical latency after which an attempt counts as overdue. Latency varies
@@ -164,11 +164,12 @@
             // A failure of the last attempt can't be retried, as with a non-idempotent request.
             false => Idempotency::NonIdempotent,
         };
-        self.edge.choose_server(
+        self.edge.choose_server_in_time(
             &self.routing.route,
             &self.routing.service,
             request_idempotency,
             candidates,
+            self.remaining(),
         )
     }
 
@@ -293,6 +294,10 @@
         self.open_attempts.retain(|(key, _, _)| *key != ended.key);
         self.record_announcements(&ended);
         let (end, evidence, response) = classify(ended.exchange.result);
+        if let Some(ResponseBody::Complete(body)) = response.as_ref().map(|r| &r.body) {
+            self.edge
+                .record_response_bytes(&self.routing.route, body.len());
+        }
         self.edge.metrics.attempt(end_name(end), ended.took);
         let evidence = match end {
             AttemptEnd::Served => Some(self.edge.record_latency(&self.routing.route, ended.took)),
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::edge::budget::RetryBudget;
+use corianderworks_decision::edge::domains::{Destination, Domains, RequestNeeds, ServiceView};
 use corianderworks_decision::edge::fleet::{Fleet, Member};
 use corianderworks_decision::edge::load_balancer::{
     Candidates, Choice, Evidence, LoadBalancer, Query,
@@ -48,6 +49,8 @@
     pub servers: Servers,
     /// Load of the backend servers and evidence about their health.
     pub load_balancer: LoadBalancer,
+    /// Shares of the requests that leave this daemon's domain.
+    pub domains: Domains,
     /// Budget for retries, shared by all daemons.
     pub budget: RetryBudget,
     /// This daemon and the other daemons that it knows of.
@@ -82,6 +85,27 @@
         is_new
     }
 
+    /// Decides whether a request leaves this daemon's domain, and where it goes.
+    fn destination(
+        &mut self,
+        service: &str,
+        own_domain: &str,
+        needs: RequestNeeds,
+        now: Duration,
+    ) -> Destination {
+        if self.domains.is_update_due(service, now) {
+            let loads = self.load_balancer.domain_loads(&self.servers, service, now);
+            let view = ServiceView {
+                own_domain,
+                loads: &loads,
+                has_reports: self.fleet.up_count(now) > 1,
+            };
+            self.domains.update(&service.into(), &view, now);
+        }
+        let jitter = || rand::rng().random::<f64>();
+        self.domains.destination(service, needs, jitter)
+    }
+
     /// Adds the load of a server to the next report.
     fn mark_load_changed(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get(key) {
@@ -193,6 +217,7 @@
             configuration: None,
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
+            domains: Domains::new(settings.crossing_cost_ns_per_byte),
             budget,
             fleet,
             peer_load: PeerLoad::default(),
@@ -295,10 +320,12 @@
         let EdgeState {
             configuration,
             load_balancer,
+            domains,
             ..
         } = &mut *state;
         if let Some(configuration) = configuration {
             load_balancer.retain_routes(|name| configuration.has_route(name));
+            domains.retain_services(|name| configuration.services.contains_key(name));
         }
         tracing::info!(
             version,
@@ -413,22 +440,46 @@
         service: &str,
         idempotency: Idempotency,
         candidates: Candidates<'_>,
+    ) -> Option<(Choice, Target)> {
+        self.choose_server_in_time(route, service, idempotency, candidates, route.timeout)
+    }
+
+    /// Chooses like [`Edge::choose_server`] for a request whose caller waits for `time_left`.
+    pub fn choose_server_in_time(
+        &self,
+        route: &Route,
+        service: &str,
+        idempotency: Idempotency,
+        candidates: Candidates<'_>,
+        time_left: Duration,
     ) -> Option<(Choice, Target)> {
         let now = self.clock.now();
         let mut state = self.lock_state();
         let may_retry = idempotency == Idempotency::Idempotent && state.budget.allows(service, now);
+        let typical_latency = state.load_balancer.typical_route_latency(route);
+        let needs = RequestNeeds {
+            bytes: state.load_balancer.typical_response_bytes(route),
+            time_left,
+            service_time: typical_latency,
+        };
+        let destination = state.destination(service, &self.settings.domain, needs, now);
         let query = Query {
             service,
-            typical_latency: state.load_balancer.typical_route_latency(route),
+            typical_latency,
             domain: &self.settings.domain,
             may_retry,
             candidates,
         };
         let jitter = || rand::rng().random::<f64>();
-        let choice = state
-            .load_balancer
-            .choose(&state.servers, query, now, jitter)?;
+        let choice =
+            state
+                .load_balancer
+                .choose_in(&state.servers, query, &destination, now, jitter)?;
         let entry = &state.servers.get(choice.key)?.entry;
+        if *entry.domain != *self.settings.domain {
+            self.metrics
+                .crossed(&entry.service, &self.settings.domain, &entry.domain);
+        }
         let target = Target {
             id: entry.id.clone(),
             address: entry.address,
@@ -495,6 +546,14 @@
         self.lock_state().load_balancer.typical_route_latency(route)
     }
 
+    /// Records the size of a response whose body was received completely.
+    pub fn record_response_bytes(&self, route: &Route, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.lock_state()
+            .load_balancer
+            .record_response_bytes(route, bytes);
+    }
+
     /// Records the response time of a served request and returns the evidence for its server.
     pub fn record_latency(&self, route: &Route, latency: Duration) -> Evidence {
         Evidence::Success(
@@ -551,6 +610,8 @@
         for service in state.servers.services() {
             let server_use = state.load_balancer.server_use(&state.servers, service, now);
             self.metrics.set_server_use(service, server_use);
+            let share = state.domains.share(service);
+            self.metrics.set_leaving_share(service, share);
         }
         drop(state);
         self.metrics.prometheus_text()
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -305,6 +305,7 @@
         memory_bytes: 160_000_000,
         apply_timeout: Duration::from_secs(2),
         server_heartbeat_interval: Duration::from_millis(1_500),
+        crossing_cost_ns_per_byte: 100.0,
     }
 }
 
