Crowd tests: slow callers in front of a real daemon process

The tests start `corianderworks edge` with 64 MB and 400 descriptors in its settings, let a crowd of slow callers act for 4 s and check that the process lives, that VmHWM and the open descriptors stay within the settings, and that an ordinary request is answered while the crowd is still there. The numbers of callers and the bounds are fixed here.

--- /dev/null
+++ b/crates/corianderworks/tests/crowd/daemon.rs
@@ -0,0 +1,130 @@
+//! Edge daemon as a process with limits of its own, and what the system says about it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_corianderworks");
+const CALLERS_PORT: u16 = 8_080;
+const READY_PORT: u16 = 8_081;
+const DIRECTORY_PORT: u16 = 8_083;
+const PEERS_PORT: u16 = 7_620;
+/// Time limit for a process to become ready on a busy machine.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Memory of the VM, in megabytes of a million bytes. About a third of it is the daemon without
+/// callers.
+pub const MEMORY_MB: usize = 64;
+/// Descriptors that the VM has for the daemon.
+pub const FILE_DESCRIPTORS: usize = 400;
+
+/// Daemon process, which is killed when it is dropped.
+pub struct Daemon {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    directory: PathBuf,
+    process: Child,
+}
+
+impl Daemon {
+    /// Starts a daemon on the loopback address 127.0.8.`number` and waits until it is ready.
+    pub async fn start(number: u8, store: SocketAddr) -> Self {
+        let name = format!("corianderworks-crowd-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let ip = format!("127.0.8.{number}");
+        let settings = directory.join("settings.toml");
+        let text = format!(
+            "nodeName = \"vm-{number}\"\nip = \"{ip}\"\nzone = \"a\"\nregion = \"r\"\n\
+             internalPortRange = [{PEERS_PORT}, {}]\nseeds = []\nbootstrap = true\n\
+             bounds = [\"gracePeriodS=6\", \"retryBudgetRatio=0.2\", \"budgetWindowS=10\", \
+             \"retryBudgetExtra=60\", \"ttl_max_s=5\"]\n\
+             [listen]\nfront = \"{ip}:{CALLERS_PORT}\"\nready = \"{ip}:{READY_PORT}\"\n\
+             directory = \"{ip}:{DIRECTORY_PORT}\"\n\
+             [limits]\ncpuShare = 0.2\ncores = 1\nmemoryMb = {MEMORY_MB}\n\
+             fileDescriptors = {FILE_DESCRIPTORS}\n\
+             [platform]\naddress = \"{store}\"\n",
+            PEERS_PORT + 15
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        let log_file =
+            |kind: &str| Stdio::from(File::create(directory.join(kind)).expect("a log file"));
+        let process = Command::new(BINARY)
+            .arg("edge")
+            .env("CORIANDERWORKS_BOOT", &settings)
+            .stdin(Stdio::null())
+            .stdout(log_file("out"))
+            .stderr(log_file("err"))
+            .spawn()
+            .expect("a process");
+        let address = |port| format!("{ip}:{port}").parse().expect("an address");
+        let daemon = Self {
+            callers: address(CALLERS_PORT),
+            ready: address(READY_PORT),
+            directory,
+            process,
+        };
+        daemon.wait_until_ready().await;
+        daemon
+    }
+
+    async fn wait_until_ready(&self) {
+        let started = Instant::now();
+        while !self.is_ready().await {
+            assert!(
+                started.elapsed() < READY_TIMEOUT,
+                "not ready: {}",
+                self.log()
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Whether the readiness check of the platform succeeds.
+    pub async fn is_ready(&self) -> bool {
+        let request = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let response = crate::callers::exchange(self.ready, request).await;
+        response.is_some_and(|r| r.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.process.try_wait(), Ok(None))
+    }
+
+    /// Returns the largest resident memory so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> usize {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let number = line.and_then(|l| l.split_whitespace().next());
+        number.and_then(|n| n.parse::<usize>().ok()).unwrap_or(0) * 1024
+    }
+
+    /// Returns the number of open descriptors.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.process.id());
+        std::fs::read_dir(path).map_or(0, Iterator::count)
+    }
+
+    /// Returns the end of the log and of the error output.
+    pub fn log(&self) -> String {
+        let read = |kind: &str| {
+            let text = std::fs::read_to_string(self.directory.join(kind)).unwrap_or_default();
+            let lines: Vec<_> = text.lines().collect();
+            lines[lines.len().saturating_sub(5)..].join("\n")
+        };
+        format!("{}\n{}", read("out"), read("err"))
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // Fails only if the process has ended before.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
