Account for what connections hold, and close the slowest callers under pressure

Cause: only bodies were counted. Heads, buffers, connections and requests at servers were not, and a caller that takes nothing but acknowledges kept its response and its server for ever.

Change: `account.rs` (before: `body_memory.rs`) counts memory and descriptors of each connection and of the VM, with guards; `edge/progress.rs` decides. Under pressure a connection has one request at a time, the connection with the least progress for what it holds is closed, and new ones are refused. A streamed response holds its server until the timeout of its route at most.

--- a/crates/corianderworks/tests/crowd/callers.rs
+++ b/crates/corianderworks/tests/crowd/callers.rs
@@ -69,3 +69,22 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
     }
 }
+
+/// Sends small requests one after the other on a connection, and returns how many were answered.
+pub async fn ask_repeatedly(address: SocketAddr, caller: usize, requests: usize) -> usize {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let mut answered = 0;
+    let mut received = Vec::new();
+    for request in 0..requests {
+        let request = get(2, &format!("c{caller}-{request}"));
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("a request is sent");
+        received.clear();
+        while !received.ends_with(b"\r\n\r\nxx") {
+            let count = stream.read_buf(&mut received).await.expect("a response");
+            assert!(count > 0, "closed after {answered} responses");
+        }
+        answered += usize::from(received.starts_with(b"HTTP/1.1 200"));
+    }
+    answered
+}
--- a/crates/corianderworks/tests/crowd/daemon.rs
+++ b/crates/corianderworks/tests/crowd/daemon.rs
@@ -103,6 +103,16 @@
         number.and_then(|n| n.parse::<usize>().ok()).unwrap_or(0) * 1024
     }
 
+    /// Returns the processor time of the process so far, in milliseconds.
+    pub fn processor_time_ms(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.process.id());
+        let stat = std::fs::read_to_string(path).expect("the state of a process");
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        // Fields 14 and 15 of the line, in hundredths of a second.
+        let times = fields.split_whitespace().skip(11).take(2);
+        times.filter_map(|t| t.parse::<u64>().ok()).sum::<u64>() * 10
+    }
+
     /// Returns the number of open descriptors.
     pub fn open_descriptors(&self) -> usize {
         let path = format!("/proc/{}/fd", self.process.id());
--- a/crates/corianderworks/tests/crowd/main.rs
+++ b/crates/corianderworks/tests/crowd/main.rs
@@ -300,3 +300,24 @@
     })
     .await;
 }
+
+/// Measures the processor time of ordinary requests, for comparisons between versions:
+/// `cargo test -p corianderworks --test crowd -- --ignored --nocapture`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[ignore = "a measurement"]
+async fn processor_time_of_ordinary_requests() {
+    const CALLERS: usize = 8;
+    const REQUESTS: usize = 2_500;
+    let _guard = ONE_AT_A_TIME.lock().await;
+    let daemon = start(11).await;
+    for _ in 0..4 {
+        let before_ms = daemon.processor_time_ms();
+        let mut callers = JoinSet::new();
+        for caller in 0..CALLERS {
+            callers.spawn(callers::ask_repeatedly(daemon.callers, caller, REQUESTS));
+        }
+        let answered: usize = callers.join_all().await.into_iter().sum();
+        let took_ms = daemon.processor_time_ms() - before_ms;
+        println!("{answered} answered, {took_ms} ms of processor time");
+    }
+}
--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -10,6 +10,7 @@
 pub mod load_balancer;
 pub mod organisations;
 pub mod peer_load;
+pub mod progress;
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -95,8 +95,13 @@
             error_sender.send(error).await.ok();
         }
     });
-    for listener in [ready_listener, directory_listener, metrics_listener] {
-        tokio::spawn(local_http::serve(edge.clone(), listener));
+    let listeners = [
+        (ready_listener, false),
+        (directory_listener, true),
+        (metrics_listener, false),
+    ];
+    for (listener, is_for_callers) in listeners {
+        tokio::spawn(local_http::serve(edge.clone(), listener, is_for_callers));
     }
     let mut tick_timer = interval(TICK_INTERVAL);
     loop {
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -96,7 +96,7 @@
 pub(crate) fn reply_without_attempt(reason: Reason, request_id: Option<Bytes>) -> Reply {
     let is_temporary = matches!(
         reason,
-        Reason::NoConfiguration | Reason::Stopping | Reason::BodyMemory
+        Reason::NoConfiguration | Reason::Stopping | Reason::BodyMemory | Reason::DaemonFull
     );
     Reply::Local {
         reason,
--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -9,6 +9,8 @@
 
 /// Number of headers of a message that are parsed without an allocation.
 const USUAL_HEADERS_MAX: usize = 128;
+/// Approximate overhead of the allocations of a header, in bytes.
+const HEADER_ALLOCATION_BYTES: usize = 64;
 /// Size of the shortest header line, `a:` and a line feed, in bytes.
 const HEADER_LINE_MIN_BYTES: usize = 3;
 /// Maximum size of the head of a response, in bytes; that of a request is configured.
@@ -87,6 +89,14 @@
         })
     }
 
+    /// Returns the approximate memory that the headers take, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let texts = self.0.iter().map(|h| h.name.len() + h.value.len());
+        texts.sum::<usize>()
+            + self.0.capacity() * size_of::<Header>()
+            + self.0.len() * HEADER_ALLOCATION_BYTES
+    }
+
     /// Returns the values of all headers of a name in the order received; `name` is in lower case.
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         self.0
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -3,7 +3,7 @@
 //! One daemon runs on every VM. It reads routes and backend servers from the platform's store,
 //! forwards the requests of callers, and reports load and failures to the other daemons.
 
-pub mod body_memory;
+pub mod account;
 pub mod caller;
 pub mod daemon;
 pub mod forward;
--- a/crates/corianderworks_edge/src/local_http.rs
+++ b/crates/corianderworks_edge/src/local_http.rs
@@ -26,8 +26,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves readiness, addresses and metrics on a listener; never returns.
-pub async fn serve(edge: Arc<Edge>, listener: TcpListener) {
+/// Serves readiness, addresses and metrics on a listener; never returns. The connections of a listener
+/// for callers are limited together with those of their requests.
+pub async fn serve(edge: Arc<Edge>, listener: TcpListener, is_for_callers: bool) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -37,8 +38,17 @@
                 continue;
             }
         };
+        // The callers of the directory must not take the descriptors of others.
+        let descriptor = match is_for_callers {
+            true => match edge.account.caller_descriptor() {
+                Some(descriptor) => Some(descriptor),
+                None => continue,
+            },
+            false => None,
+        };
         let edge = edge.clone();
         tokio::spawn(async move {
+            let _descriptor = descriptor;
             let service = service_fn(|request| {
                 let response = respond(&edge, &request);
                 async move { Ok::<_, Infallible>(response) }
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -34,6 +34,9 @@
     store_calls: Counter<u64>,
     state: Gauge<u64>,
     servers: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    connections: Gauge<u64>,
+    connections_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -69,6 +72,11 @@
             store_calls: meter.u64_counter("corianderworks_edge_store_calls").build(),
             state: meter.u64_gauge("corianderworks_edge_state").build(),
             servers: meter.u64_gauge("corianderworks_edge_servers").build(),
+            held_bytes: meter.u64_gauge("corianderworks_edge_held_bytes").build(),
+            connections: meter.u64_gauge("corianderworks_edge_connections").build(),
+            connections_closed: meter
+                .u64_counter("corianderworks_edge_connections_closed")
+                .build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -114,6 +122,25 @@
         }
     }
 
+    /// Counts a connection of a caller that was closed or refused because it was slow, or because
+    /// memory or descriptors were scarce.
+    pub fn connection_closed(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.connections_closed.add(1, &labels);
+    }
+
+    /// Sets the gauge of the memory that connections hold for a purpose.
+    pub fn set_held_bytes(&self, kind: &'static str, bytes: u64) {
+        self.held_bytes
+            .record(bytes, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets the gauge of the number of connections in a phase.
+    pub fn set_connections(&self, phase: &'static str, count: u64) {
+        self.connections
+            .record(count, &[KeyValue::new("phase", phase)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/corianderworks_edge/src/reason.rs
+++ b/crates/corianderworks_edge/src/reason.rs
@@ -34,6 +34,8 @@
     Stopped,
     /// The request bodies held by the daemon exceed their memory limit.
     BodyMemory,
+    /// Connections hold nearly all memory or descriptors of the VM.
+    DaemonFull,
     /// The request was sent to a backend server, but the response is missing or unusable.
     NoResponse,
     /// The caller's deadline or the route's timeout passed before a backend server responded.
@@ -44,7 +46,8 @@
     HeadTooLarge,
     /// The request body exceeds the size limit.
     BodyTooLarge,
-    /// The request head was not complete in time, or the body stalled for the idle timeout.
+    /// The request head was not complete in time, the body stalled for the idle timeout, or either
+    /// made little progress while memory or descriptors were scarce.
     SlowRequest,
     /// The caller closed the connection before it got a response.
     CallerLeft,
@@ -68,6 +71,7 @@
             Self::Stopping => "stopping",
             Self::Stopped => "stopped",
             Self::BodyMemory => "body-memory",
+            Self::DaemonFull => "daemon-full",
             Self::NoResponse => "no-response",
             Self::TimedOut => "timed-out",
             Self::Malformed => "malformed",
@@ -97,7 +101,8 @@
             | Self::ServersFull
             | Self::Unreachable
             | Self::Stopping
-            | Self::BodyMemory => (503, "Service Unavailable"),
+            | Self::BodyMemory
+            | Self::DaemonFull => (503, "Service Unavailable"),
             Self::TimedOut => (504, "Gateway Timeout"),
             Self::Malformed => (400, "Bad Request"),
             Self::HeadTooLarge => (431, "Request Header Fields Too Large"),
--- a/crates/corianderworks_edge/src/reply.rs
+++ b/crates/corianderworks_edge/src/reply.rs
@@ -6,7 +6,7 @@
 use corianderworks_platform::headers;
 use serde::Serialize;
 
-use crate::body_memory::BodyMemoryGuard;
+use crate::account::MemoryGuard;
 use crate::http1::{Framing, ResponseHead, put_header, put_status};
 use crate::reason::Reason;
 use crate::upstream::{BodyStream, ResponseBody, UpstreamResponse};
@@ -43,7 +43,7 @@
     /// Rest of the body, to be streamed with this framing; `None` if the body is complete.
     pub rest: Option<(Box<BodyStream>, RestFraming)>,
     /// Memory that the bytes take, to be released when they are written.
-    pub memory: Option<BodyMemoryGuard>,
+    pub memory: Option<MemoryGuard>,
 }
 
 /// Framing of the rest of a streamed body.
@@ -71,6 +71,21 @@
         }
     }
 
+    /// Returns the rest of a body that is streamed from its server.
+    pub fn stream_mut(&mut self) -> Option<&mut BodyStream> {
+        match self {
+            Self::Upstream {
+                response:
+                    UpstreamResponse {
+                        body: ResponseBody::Partial(_, stream),
+                        ..
+                    },
+                ..
+            } => Some(stream),
+            _ => None,
+        }
+    }
+
     /// Encodes the response. `close` adds a header that announces the end of the connection.
     pub fn encode(self, close: bool) -> Encoded {
         match self {
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -496,7 +496,10 @@
         ExchangeResult::Response(response) => response,
         ExchangeResult::NotSent(error) => {
             tracing::debug!(%error, "forward: request not sent");
-            return (AttemptEnd::NotSent, Some(Evidence::Unreachable), None);
+            // Without a free descriptor, nothing is known about the server.
+            let is_own_limit = error.kind() == std::io::ErrorKind::QuotaExceeded;
+            let evidence = (!is_own_limit).then_some(Evidence::Unreachable);
+            return (AttemptEnd::NotSent, evidence, None);
         }
         ExchangeResult::Unknown(response_error) => {
             tracing::debug!(error = %response_error, "forward: no usable response");
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -12,6 +12,7 @@
     Candidates, Choice, Evidence, LoadBalancer, Query,
 };
 use corianderworks_decision::edge::peer_load::{PeerLoad, ServerTag, StoreView};
+use corianderworks_decision::edge::progress::VmLimits;
 use corianderworks_decision::edge::routes::{Configuration, Idempotency, Route, replace_if_newer};
 use corianderworks_decision::edge::servers::{
     Announcement, Change, ServerEntry, ServerKey, Servers,
@@ -23,17 +24,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
-use crate::body_memory::{BodyMemory, BodyMemoryGuard};
+use crate::account::{Account, MemoryGuard, MemoryKind};
 use crate::logs::LineRateLimiter;
 use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
 
-/// Request bodies may take the memory of the VM divided by this number. What they and the responses
-/// leave is for connections and the state of the fleet.
-const BODY_MEMORY_DIVISOR: usize = 2;
-/// Same for the bodies of responses that are held until they are written.
-const RESPONSE_MEMORY_DIVISOR: usize = 4;
-
 /// Number of heartbeats that an outage of the store has to suppress before entries can lapse. The
 /// platform removes an entry after three heartbeat intervals of silence, of which up to one may
 /// have passed when the outage begins.
@@ -177,7 +172,8 @@
     stop_requested_at: OnceLock<Duration>,
     state: Mutex<EdgeState>,
     in_flight: AtomicUsize,
-    request_memory: Arc<BodyMemory>,
+    /// Memory and descriptors that connections hold.
+    pub account: Arc<Account>,
 }
 
 impl Edge {
@@ -202,13 +198,12 @@
             knows_registered_members: false,
             removed_members: Vec::new(),
         };
-        let memory = |divisor| BodyMemory::with_limit(settings.memory_bytes / divisor);
-        let request_memory = memory(BODY_MEMORY_DIVISOR);
-        let response_memory = memory(RESPONSE_MEMORY_DIVISOR);
+        let limits = VmLimits::new(settings.memory_bytes, settings.file_descriptors);
+        let account = Account::new(limits, metrics.clone());
         Self {
             settings,
             clock,
-            pool: Arc::new(ConnectionPool::new(response_memory)),
+            pool: Arc::new(ConnectionPool::new(account.clone())),
             metrics,
             served_log_limit: LineRateLimiter::default(),
             failed_log_limit: LineRateLimiter::default(),
@@ -218,7 +213,7 @@
             stop_requested_at: OnceLock::new(),
             state: Mutex::new(state),
             in_flight: AtomicUsize::new(0),
-            request_memory,
+            account,
         }
     }
 
@@ -393,7 +388,7 @@
     }
 
     /// Removes servers whose grace period is over and closes connections that were idle for too
-    /// long. Called periodically.
+    /// long, or that make no progress while memory or descriptors are scarce. Called periodically.
     pub fn tick(&self) {
         let now = self.clock.now();
         let mut state = self.lock_state();
@@ -403,6 +398,7 @@
         }
         drop(state);
         self.pool.close_idle();
+        self.account.relieve(now);
     }
 
     /// Chooses a backend server for an attempt, or returns `None` if there is none for the
@@ -553,6 +549,7 @@
             self.metrics.set_server_use(service, server_use);
         }
         drop(state);
+        self.account.record_metrics();
         self.metrics.prometheus_text()
     }
 
@@ -563,8 +560,8 @@
 
     /// Reserves memory for a request body until the guard is dropped. Returns `None` if the
     /// bodies of all requests would exceed their share of the VM's memory.
-    pub fn reserve_body_memory(&self, bytes: usize) -> Option<BodyMemoryGuard> {
-        self.request_memory.reserve(bytes)
+    pub fn reserve_body_memory(&self, bytes: usize) -> Option<MemoryGuard> {
+        self.account.reserve(MemoryKind::RequestBody, bytes)
     }
 }
 
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::body_memory::{BodyMemory, BodyMemoryGuard};
+use crate::account::{Account, DescriptorGuard, MemoryGuard, MemoryKind};
 use crate::http1::{
     BodyDecoder, Decoded, Framing, RequestHead, ResponseHead, put_header, take_response_head,
 };
@@ -44,6 +44,9 @@
 /// Maximum size of a body that is buffered completely before the response is forwarded, in bytes.
 /// While a response is buffered, another server can still be tried if the connection breaks.
 const BUFFERED_BODY_MAX_BYTES: usize = 1024 * 1024;
+/// Receive buffer of a connection whose response is streamed, in bytes; the kernel doubles it. It
+/// holds the data of 50 ms on the link of the smallest VM.
+const STREAM_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Space reserved in the read buffer before each read of a body, in bytes.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -89,8 +92,8 @@
     pub head: ResponseHead,
     /// Body, decoded from the framing in the head.
     pub body: ResponseBody,
-    /// Memory that the received part of the body takes.
-    pub memory: BodyMemoryGuard,
+    /// Memory that the head and the received part of the body take.
+    pub memory: MemoryGuard,
 }
 
 /// Whether a request may be sent on an idle connection.
@@ -153,6 +156,7 @@
     stream: TcpStream,
     buffer: BytesMut,
     reused: bool,
+    _descriptor: DescriptorGuard,
 }
 
 #[derive(Debug)]
@@ -166,17 +170,17 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
-    /// Memory for responses that are held until they are written.
-    response_memory: Arc<BodyMemory>,
+    /// Counts the connections, and the responses that are held until they are written.
+    account: Arc<Account>,
 }
 
 impl ConnectionPool {
     /// Creates a pool without connections; they are added when responses are complete. Responses
-    /// that exceed `response_memory` are streamed.
-    pub fn new(response_memory: Arc<BodyMemory>) -> Self {
+    /// for which `account` has no memory left are streamed.
+    pub fn new(account: Arc<Account>) -> Self {
         Self {
             idle: Mutex::default(),
-            response_memory,
+            account,
         }
     }
 
@@ -228,7 +232,7 @@
             };
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => match connect(target.address).await {
+                None => match self.connect(target.address).await {
                     Ok(connection) => connection,
                     Err(error) => return ExchangeResult::NotSent(error),
                 },
@@ -257,13 +261,22 @@
         deadline: Instant,
     ) -> ExchangeResult {
         let mut decoder = BodyDecoder::new(received.head.framing);
-        let mut memory = self.response_memory.empty_guard();
-        let mut body = match received.head.framing {
-            Framing::Length(length) => BytesMut::with_capacity(
-                usize::try_from(length).map_or(0, |length| length.min(BUFFERED_BODY_MAX_BYTES)),
-            ),
-            _ => BytesMut::new(),
+        let mut memory = self.account.empty_guard(MemoryKind::ResponseBody);
+        let declared_length = match received.head.framing {
+            Framing::Length(length) => usize::try_from(length)
+                .map_or(BUFFERED_BODY_MAX_BYTES, |length| {
+                    length.min(BUFFERED_BODY_MAX_BYTES)
+                }),
+            _ => 0,
         };
+        // Memory that isn't available is asked for again by each part, so that a small one is held.
+        let mut reserved = match memory.try_grow(declared_length) {
+            true => declared_length,
+            false => 0,
+        };
+        let mut body = BytesMut::with_capacity(reserved);
+        let head_bytes = received.head.headers.memory_bytes();
+        let mut has_memory = memory.try_grow(head_bytes);
         loop {
             let part = match next_part(&mut connection, &mut decoder).await {
                 Ok(Some(part)) => part,
@@ -271,9 +284,16 @@
                 Err(response_error) => return ExchangeResult::Unknown(response_error),
             };
             body.extend_from_slice(&part);
-            if body.len() > BUFFERED_BODY_MAX_BYTES || !memory.try_grow(part.len()) {
+            if body.len() > reserved {
+                // The buffer grows to a multiple of its size.
+                let capacity = body.capacity();
+                has_memory &= memory.try_grow(capacity - reserved);
+                reserved = capacity;
+            }
+            if body.len() > BUFFERED_BODY_MAX_BYTES || !has_memory {
+                limit_receive_buffer(&connection.stream);
                 let stream = BodyStream {
-                    connection,
+                    connection: Some(connection),
                     decoder,
                     deadline,
                 };
@@ -292,6 +312,34 @@
         })
     }
 
+    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
+        let descriptor = self.take_descriptor()?;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+        Ok(Connection {
+            stream,
+            buffer: BytesMut::new(),
+            reused: false,
+            _descriptor: descriptor,
+        })
+    }
+
+    /// Counts a new connection. Closes an idle one if there are too many.
+    fn take_descriptor(&self) -> io::Result<DescriptorGuard> {
+        if self.account.server_descriptors_scarce() {
+            let mut idle = self.idle.lock();
+            // Any idle connection may be closed.
+            if let Some(connections) = idle.values_mut().find(|c| !c.is_empty()) {
+                connections.pop();
+            }
+        }
+        let descriptor = self.account.server_descriptor();
+        descriptor.ok_or_else(|| io::ErrorKind::QuotaExceeded.into())
+    }
+
     fn return_connection(
         &self,
         mut connection: Connection,
@@ -344,17 +392,12 @@
     Some(Duration::from_secs(seconds))
 }
 
-async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    Ok(Connection {
-        stream,
-        buffer: BytesMut::new(),
-        reused: false,
-    })
+/// Limits the bytes that the kernel receives while a caller doesn't read a streamed response.
+fn limit_receive_buffer(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(error) = socket.set_recv_buffer_size(STREAM_RECEIVE_BUFFER_BYTES) {
+        tracing::debug!(%error, "upstream: cannot limit the receive buffer");
+    }
 }
 
 /// Encodes the head of a request. The body follows it as it is, so that all attempts share it.
@@ -569,7 +612,8 @@
 /// Rest of a body that is too large to buffer. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct BodyStream {
-    connection: Connection,
+    /// `None` after the server was released.
+    connection: Option<Connection>,
     decoder: BodyDecoder,
     /// Time at which the caller or the route stops waiting. A body may have no end, so a part that
     /// arrives later ends the stream.
@@ -577,6 +621,16 @@
 }
 
 impl BodyStream {
+    /// Closes the connection to the server. The rest of the body is lost.
+    pub fn release_server(&mut self) {
+        self.connection = None;
+    }
+
+    /// Returns the time at which the response ends at the latest, complete or not.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Returns the next part of the body, or `None` at its end.
     ///
     /// # Errors
@@ -587,7 +641,10 @@
         if Instant::now() >= self.deadline {
             return Err(ResponseError::DeadlinePassed);
         }
-        let part = next_part(&mut self.connection, &mut self.decoder);
+        let Some(connection) = &mut self.connection else {
+            return Err(ResponseError::DeadlinePassed);
+        };
+        let part = next_part(connection, &mut self.decoder);
         tokio::time::timeout_at(self.deadline, part)
             .await
             .map_err(|_| ResponseError::DeadlinePassed)?
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -303,6 +303,7 @@
         },
         capacity_millicores: 200,
         memory_bytes: 160_000_000,
+        file_descriptors: 4_100,
         apply_timeout: Duration::from_secs(2),
         server_heartbeat_interval: Duration::from_millis(1_500),
     }
