--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -13,6 +13,7 @@
 pub mod load_balancer;
 pub mod organisations;
 pub mod peer_load;
+pub mod progress;
 pub mod quota;
 pub mod report_coverage;
 pub mod routes;
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -49,6 +49,9 @@
     refusals: Counter<u64>,
     crossed: Counter<u64>,
     leaving_share: Gauge<f64>,
+    held_bytes: Gauge<u64>,
+    connections: Gauge<u64>,
+    connections_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -105,6 +108,11 @@
             refusals: meter.u64_counter("corianderworks_edge_refusals").build(),
             crossed: meter.u64_counter("corianderworks_edge_crossed").build(),
             leaving_share: meter.f64_gauge("corianderworks_edge_leaving_share").build(),
+            held_bytes: meter.u64_gauge("corianderworks_edge_held_bytes").build(),
+            connections: meter.u64_gauge("corianderworks_edge_connections").build(),
+            connections_closed: meter
+                .u64_counter("corianderworks_edge_connections_closed")
+                .build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -210,6 +218,25 @@
         self.leaving_share.record(share, &labels);
     }
 
+    /// Counts a connection of a caller that was closed or refused because it was slow, or because
+    /// memory or descriptors were scarce.
+    pub fn connection_closed(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.connections_closed.add(1, &labels);
+    }
+
+    /// Sets the gauge of the memory that connections hold for a purpose.
+    pub fn set_held_bytes(&self, kind: &'static str, bytes: u64) {
+        self.held_bytes
+            .record(bytes, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets the gauge of the number of connections in a phase.
+    pub fn set_connections(&self, phase: &'static str, count: u64) {
+        self.connections
+            .record(count, &[KeyValue::new("phase", phase)]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -176,7 +176,7 @@
 
     async fn wait_for_turn(&mut self) -> Turn {
         let began = Instant::now();
-        let bytes = self.outgoing.body.len() + self.outgoing.head.headers.bytes();
+        let bytes = self.outgoing.body.len() + self.outgoing.head.headers.memory_bytes();
         let turn = self.edge.wait_for_turn(&self.routing, bytes).await;
         self.queued_for = began.elapsed();
         self.edge
@@ -642,7 +642,10 @@
         ExchangeResult::Response(response) => response,
         ExchangeResult::NotSent(error) => {
             tracing::debug!(%error, "forward: request not sent");
-            return (AttemptEnd::NotSent, Some(Evidence::Unreachable), None);
+            // Without a free descriptor, nothing is known about the server.
+            let is_own_limit = error.kind() == std::io::ErrorKind::QuotaExceeded;
+            let evidence = (!is_own_limit).then_some(Evidence::Unreachable);
+            return (AttemptEnd::NotSent, evidence, None);
         }
         ExchangeResult::Unknown(response_error) => {
             tracing::debug!(error = %response_error, "forward: no usable response");
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -305,6 +305,7 @@
         quota: QuotaBounds::default(),
         capacity_millicores: 200,
         memory_bytes: 160_000_000,
+        file_descriptors: 4_100,
         apply_timeout: Duration::from_secs(2),
         server_heartbeat_interval: Duration::from_millis(1_500),
         key_revocation: None,
