Use all due servers while many requests fail; start quotas with 0.8 s of the rate

Change: while 12% or more of a service's attempts fail, all servers that are due are used and none is avoided, as before. A bucket starts with the tokens of 0.8 s of the rate in addition.

Result: tests of the floor, the load balancer, suspected servers and quotas pass.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -99,6 +99,11 @@
 const DOUBTFUL_COST: f64 = 20.0;
 /// Share of the healthy servers of a service that have to be in use.
 const FLOOR_SHARE: f64 = 0.7;
+/// Share of failed attempts of a service from which on the floor may apply to it. A tenth of the
+/// requests must fail for that; late reports hide some of them. The floor counts only servers whose
+/// VMs and links are undisturbed, and a daemon doesn't know which these are. So all servers that are
+/// due are used then, also by requests that can't be retried.
+const FLOOR_FAILED_SHARE: f64 = 0.12;
 /// Margin above that share within which requests that can't be retried use doubtful servers, as a
 /// share of the healthy servers and at least a number of servers. The number of healthy servers is
 /// an estimate, and in a small service one server is a large share.
@@ -326,6 +331,8 @@
 pub struct LoadBalancer {
     states: SecondaryMap<ServerKey, ServerState>,
     request_counts: HashMap<Arc<str>, RequestCount>,
+    /// Those of them that failed.
+    failure_counts: HashMap<Arc<str>, RequestCount>,
     routes: HashMap<Arc<str>, RouteLatency>,
 }
 
@@ -357,6 +364,11 @@
     }
 }
 
+/// Returns the decayed number of a service's requests.
+fn recent(counts: &HashMap<Arc<str>, RequestCount>, service: &str, now: Duration) -> f64 {
+    counts.get(service).map_or(0.0, |count| count.at_time(now))
+}
+
 /// Returns the remaining weight of a value of the given age; `decay` is the time constant.
 fn decay_factor(age: Duration, decay: Duration) -> f64 {
     (-age.as_secs_f64() / decay.as_secs_f64()).exp()
@@ -473,6 +485,10 @@
             return;
         };
         let state = entry.or_default();
+        if matches!(evidence, Evidence::Failure | Evidence::Overdue) {
+            let failures = self.failure_counts.entry(service.clone()).or_default();
+            failures.record(now);
+        }
         if evidence != Evidence::Overdue {
             self.request_counts.entry(service).or_default().record(now);
         }
@@ -679,8 +695,12 @@
             in_use += is_healthy;
             needed_up_to = failing_probability;
         }
-        let requests = self.request_counts.get(query.service);
-        let requests = requests.map_or(0.0, |r| r.at_time(now));
+        let requests = recent(&self.request_counts, query.service, now);
+        let failures = recent(&self.failure_counts, query.service, now);
+        if failures >= FLOOR_FAILED_SHARE * requests.max(1.0) {
+            better_has_room = false;
+            needed_up_to = 1.0;
+        }
         Caution {
             requests,
             has_requests_for_all: requests >= f64::from(accepting),
--- a/crates/corianderworks_decision/src/edge/quota.rs
+++ b/crates/corianderworks_decision/src/edge/quota.rs
@@ -8,8 +8,8 @@
 //! bucket holds fewer tokens than the other daemons get requests within that time.
 //!
 //! A daemon that doesn't receive the reports of some others uses only the part of the rate and of
-//! the bucket that belongs to the daemons whose reports arrive. A bucket starts nearly empty, because
-//! the fleet may have used its tokens before all daemons restarted, except at the fleet's first start.
+//! the bucket that belongs to the daemons whose reports arrive. A bucket starts without the burst,
+//! which the fleet may have used before all daemons restarted, except at the fleet's first start.
 //!
 //! `docs/design/organisation-quotas.md` compares this with other designs.
 
@@ -81,6 +81,10 @@
 /// a partition at the start of a surge came to 123 of 126 allowed requests in a simulated window, with
 /// 0.3 to 120.
 const TOLERANCE_SHARE_IN_BURST: f64 = 0.3;
+/// Time for which the rate fills the buckets of daemons that restart. All daemons may restart at
+/// once; what the organisations could send while they were down, and a tenth of the limit of the
+/// window, is left then.
+const RESTART_RATE_TIME: Duration = Duration::from_millis(800);
 /// Number of daemons that is assumed until the registered ones are known.
 const UNKNOWN_FLEET_DAEMONS: usize = 430;
 /// Share of the daemons that must have reported until the start of a daemon is over.
@@ -318,7 +322,7 @@
     First,
     /// After an earlier run, in which the fleet may have used all tokens. The burst is taken as used
     /// up, but not the part of the tolerance that is added to it: twice this part is less than the
-    /// tolerance.
+    /// tolerance. [`RESTART_RATE_TIME`] adds to it.
     Restart,
     /// The start is over.
     Over,
@@ -329,7 +333,11 @@
     fn tokens(self, limit: RateLimit, supply: Supply) -> f64 {
         match self {
             Self::First => supply.capacity(limit),
-            Self::Restart => supply.extra_burst * supply.share,
+            Self::Restart => {
+                let rate_tokens = limit.rate_per_s * RESTART_RATE_TIME.as_secs_f64();
+                let tokens = (rate_tokens + supply.extra_burst) * supply.share;
+                tokens.min(supply.capacity(limit))
+            }
             Self::Over => 0.0,
         }
     }
