--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -309,6 +309,7 @@
         apply_timeout: Duration::from_secs(2),
         server_heartbeat_interval: Duration::from_millis(1_500),
         key_revocation: None,
+        ranks_requests: true,
         crossing_cost_ns_per_byte: 100.0,
     }
 }
