Skip the queue where requests aren't ranked

Cause: deployments that don't rank requests still took the lock of the state and summed the load of all servers of a service for each request, since the condition stood where the highest priority is determined.

Change: the queue itself checks the setting. Decisions stay the same.

Result: the tests of the queue and of forwarding pass.

--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -53,8 +53,7 @@
     pub(crate) quota: Option<Arc<QuotaGuard>>,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
-    /// Highest priority that requests of the service may have; that of the request if requests aren't
-    /// ranked.
+    /// Highest priority that requests of the service may have.
     pub(crate) highest_priority: u32,
     /// Time at which the head was read.
     pub(crate) received_at: Instant,
@@ -293,16 +292,12 @@
     edge.lock_state()
         .budget
         .record_request(service, edge.clock.now());
-    let priority = priority(&caller, route);
     Ok(Routing {
         route: route.clone(),
         service: service.clone(),
         version: configuration.version,
-        priority,
-        highest_priority: match edge.settings.ranks_requests {
-            true => configuration.highest_priority(service),
-            false => priority,
-        },
+        priority: priority(&caller, route),
+        highest_priority: configuration.highest_priority(service),
         caller,
         received_at: request.received_at,
         quota,
--- a/crates/corianderworks_edge/src/waiting.rs
+++ b/crates/corianderworks_edge/src/waiting.rs
@@ -105,9 +105,12 @@
 }
 
 impl Edge {
-    /// Waits until a request may be sent. `bytes` is the memory that it holds. Dropping the future
-    /// removes the request from the queue.
+    /// Waits until a request may be sent, if requests are ranked. `bytes` is the memory that it holds.
+    /// Dropping the future removes the request from the queue.
     pub(crate) async fn wait_for_turn(self: &Arc<Self>, routing: &Routing, bytes: usize) -> Turn {
+        if !self.settings.ranks_requests {
+            return Turn::Send;
+        }
         let (place, decision) = match self.enqueue(routing, bytes) {
             Ok(queued) => queued,
             Err(turn) => return turn,
