Handle evidence, removed servers and choices in one place each

Cause: own and reported evidence was counted for its service by the same lines in two files, a removed server was discarded by the same two calls in two places, and the choice of a server had two entry points, one of which only a test used.

Change: EdgeState::count_evidence, EdgeState::forget_server, and Edge::choose_server with the time left. Behaviour stays the same.

--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -161,11 +161,7 @@
         if let Some(server) = self.servers.get(key) {
             self.load_balancer
                 .observe_reported((key, server), evidence, now);
-            let service = &server.entry.service;
-            self.acceptance.observe(service, key, evidence, now);
-            if !evidence.is_negative() {
-                self.waiting.record_completion(service, now);
-            }
+            self.count_evidence(key, evidence, now);
         }
     }
 
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -206,7 +206,7 @@
             // A failure of the last attempt can't be retried, as with a non-idempotent request.
             false => Idempotency::NonIdempotent,
         };
-        self.edge.choose_server_in_time(
+        self.edge.choose_server(
             &self.routing.route,
             &self.routing.service,
             request_idempotency,
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -116,6 +116,24 @@
         is_new
     }
 
+    /// Counts an observation of this daemon or of another one for the service of its server.
+    pub(crate) fn count_evidence(&mut self, key: ServerKey, evidence: Evidence, now: Duration) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let service = &server.entry.service;
+        self.acceptance.observe(service, key, evidence, now);
+        if !evidence.is_negative() {
+            self.waiting.record_completion(service, now);
+        }
+    }
+
+    /// Discards what was observed at a server that left the list.
+    fn forget_server(&mut self, key: ServerKey) {
+        self.load_balancer.remove_server(key);
+        self.acceptance.remove_server(key);
+    }
+
     /// Decides whether a request leaves this daemon's domain, and where it goes.
     fn destination(
         &mut self,
@@ -470,8 +488,7 @@
             Change::Lapsed(key) => ("lapsed", *key),
             Change::Removed(key) => {
                 tracing::info!(server = ?key, source, "servers: removed");
-                state.load_balancer.remove_server(*key);
-                state.acceptance.remove_server(*key);
+                state.forget_server(*key);
                 return;
             }
         };
@@ -494,33 +511,21 @@
         let mut state = self.lock_state();
         for key in state.servers.remove_expired(now) {
             tracing::info!(server = ?key, "servers: removed, lapsed entry was not renewed");
-            state.load_balancer.remove_server(key);
-            state.acceptance.remove_server(key);
+            state.forget_server(key);
         }
         drop(state);
         self.pool.close_idle();
         self.account.relieve(now);
     }
 
-    /// Chooses a backend server for an attempt, or returns `None` if there is none for the
-    /// service among the candidates.
+    /// Chooses a backend server for an attempt of a request whose caller waits for `time_left`, or
+    /// returns `None` if there is none for the service among the candidates.
     pub fn choose_server(
         &self,
         route: &Route,
         service: &str,
         idempotency: Idempotency,
         candidates: Candidates<'_>,
-    ) -> Option<(Choice, Target)> {
-        self.choose_server_in_time(route, service, idempotency, candidates, route.timeout)
-    }
-
-    /// Chooses like [`Edge::choose_server`] for a request whose caller waits for `time_left`.
-    pub fn choose_server_in_time(
-        &self,
-        route: &Route,
-        service: &str,
-        idempotency: Idempotency,
-        candidates: Candidates<'_>,
         time_left: Duration,
     ) -> Option<(Choice, Target)> {
         let now = self.clock.now();
@@ -564,18 +569,13 @@
         let EdgeState {
             servers,
             load_balancer,
-            acceptance,
-            waiting,
             ..
         } = &mut *state;
         if let Some(server) = servers.get(key) {
             load_balancer.observe((key, server), evidence, now);
-            acceptance.observe(&server.entry.service, key, evidence, now);
-            if !evidence.is_negative() {
-                waiting.record_completion(&server.entry.service, now);
-            }
             let tag = server.entry.tag();
             state.pending_report.evidence.push((tag, evidence));
+            state.count_evidence(key, evidence, now);
         }
         drop(state);
         self.report_trigger.notify_one();
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -471,7 +471,13 @@
             .route("shop.example", "/read/x")
             .expect("a route");
         let idempotency = Idempotency::NonIdempotent;
-        let chosen = e.choose_server(route, "ledger", idempotency, Candidates::Except(&[]));
+        let chosen = e.choose_server(
+            route,
+            "ledger",
+            idempotency,
+            Candidates::Except(&[]),
+            route.timeout,
+        );
         chosen.expect("a server").1.id.to_string()
     };
     // The target is detection within 1 s; half of that is reserved for the failing requests
