Count attempts at other domains when they start

Cause: crossed_total, described as attempts at backend servers of another failure domain, was incremented by each choice of a server, also by those that only tell whether a refused request can wait, or that the key check or the retry budget stops.

Change: the counter is incremented where an attempt starts.

--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -551,10 +551,6 @@
                 .load_balancer
                 .choose_in(&state.servers, query, &destination, now, jitter)?;
         let entry = &state.servers.get(choice.key)?.entry;
-        if *entry.domain != *self.settings.domain {
-            self.metrics
-                .crossed(&entry.service, &self.settings.domain, &entry.domain);
-        }
         let target = Target {
             id: entry.id.clone(),
             address: entry.address,
@@ -689,6 +685,15 @@
         let mut state = self.lock_state();
         state.load_balancer.attempt_started(key, self.clock.now());
         state.mark_load_changed(key);
+        if let Some(server) = state.servers.get(key) {
+            let own_domain = &*self.settings.domain;
+            let ServerEntry {
+                service, domain, ..
+            } = &server.entry;
+            if **domain != *own_domain {
+                self.metrics.crossed(service, own_domain, domain);
+            }
+        }
         drop(state);
         self.report_trigger.notify_one();
         AttemptGuard {
