Derive memory pressure and the limits on callers from one function each

Cause: the memory in use was compared with its soft limits by two functions, and the limits on callers were taken from the configuration by the same lines at two places.

Change: admission asks for the excess of memory, and Edge::caller_limits serves both the reader and the writer. Behaviour stays the same.

--- a/crates/corianderworks_edge/src/account.rs
+++ b/crates/corianderworks_edge/src/account.rs
@@ -263,15 +263,6 @@
         }
     }
 
-    fn memory_pressure(&self) -> bool {
-        let exceeds_soft = |kind: MemoryKind| {
-            let used = self.memory_bytes[kind as usize].load(Ordering::Relaxed);
-            used >= soft_limit(kind.limit_bytes(&self.limits))
-        };
-        self.total_bytes() >= soft_limit(self.limits.memory_bytes)
-            || MemoryKind::ALL.into_iter().any(exceeds_soft)
-    }
-
     /// Measures the progress of the connections, and closes slow ones if memory or descriptors are
     /// scarce. Called periodically.
     pub fn relieve(&self, now: Duration) {
@@ -538,7 +529,7 @@
         let admission = admit_request(RequestUse {
             requests: account.requests.load(Ordering::Relaxed),
             requests_max: account.limits.requests(),
-            memory_pressure: account.memory_pressure(),
+            memory_pressure: account.excess(Resource::Memory) > 0,
             pending_replies: self.shared.pending_replies.load(Ordering::Relaxed),
             held_bytes: self.shared.held_bytes.load(Ordering::Relaxed),
             held_bytes_max: account.limits.response_body_bytes / CONNECTION_SHARE_DIVISOR,
--- a/crates/corianderworks_edge/src/caller.rs
+++ b/crates/corianderworks_edge/src/caller.rs
@@ -277,7 +277,7 @@
     async fn run(&mut self) -> ReadEnd {
         let mut head_deadline: Option<Instant> = None;
         loop {
-            let limits = self.limits();
+            let limits = self.edge.caller_limits();
             match take_request_head(&mut self.buffer, limits.header_bytes) {
                 Ok(Some(head)) => {
                     head_deadline = None;
@@ -332,12 +332,6 @@
         }
     }
 
-    fn limits(&self) -> CallerLimits {
-        self.edge
-            .configuration()
-            .map_or_else(CallerLimits::default, |c| c.limits)
-    }
-
     /// Reads more data into the buffer. With `may_stop`, also returns when the daemon no longer
     /// accepts connections or the writer answers no further requests. A connection that is closed
     /// for others stops as well, or counts as timed out if it can't stop.
@@ -700,8 +694,7 @@
     /// Writes bytes. Aborts the connection if its caller takes none for the stall timeout, or not
     /// all of them by the deadline, until which a server waits for the caller.
     async fn write_all(&mut self, mut bytes: &[u8], deadline: Option<Instant>) -> io::Result<()> {
-        let configuration = self.edge.configuration();
-        let limits = configuration.map_or_else(CallerLimits::default, |c| c.limits);
+        let limits = self.edge.caller_limits();
         let stall_timeout =
             progress::stall_timeout(progress::Phase::Reply, &limits).unwrap_or(limits.idle_timeout);
         while !bytes.is_empty() {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -20,7 +20,7 @@
 use corianderworks_decision::edge::progress::VmLimits;
 use corianderworks_decision::edge::quota::{self, QuotaDecision, QuotaToken, Quotas};
 use corianderworks_decision::edge::routes::{
-    ConfigVersion, Configuration, Idempotency, Route, replace_if_newer,
+    CallerLimits, ConfigVersion, Configuration, Idempotency, Route, replace_if_newer,
 };
 use corianderworks_decision::edge::servers::{
     Announcement, Change, ServerEntry, ServerKey, Servers,
@@ -315,6 +315,13 @@
         self.lock_state().configuration.clone()
     }
 
+    /// Returns the limits on callers: those of the configuration, or the defaults before the first
+    /// one.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let configuration = self.configuration();
+        configuration.map_or_else(CallerLimits::default, |c| c.limits)
+    }
+
     /// Returns whether the daemon serves or stops, and the phase of the shutdown.
     pub fn lifecycle(&self) -> Lifecycle {
         *self.lifecycle.borrow()
