Own the quota token of a request without sharing

Cause: the guard of a quota token was shared and atomic, because Routing could be cloned, which nothing does.

Change: Routing isn't Clone and owns the guard. Behaviour stays the same.

--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -43,14 +43,14 @@
 }
 
 /// Routing decision for a request.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Routing {
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) version: ConfigVersion,
     pub(crate) caller: CallerIdentity,
     /// Token of the organisation's quota; `None` if it has no limit.
-    pub(crate) quota: Option<Arc<QuotaGuard>>,
+    pub(crate) quota: Option<QuotaGuard>,
     /// Priority of the caller's organisation or else of the route; 0 is the highest.
     pub(crate) priority: u32,
     /// Highest priority that requests of the service may have.
@@ -63,8 +63,8 @@
 
 impl Routing {
     /// Sets whether the request may have been run; if not, its end gives the quota token back.
-    pub(crate) fn set_quota_used(&self, is_used: bool) {
-        if let Some(quota) = &self.quota {
+    pub(crate) fn set_quota_used(&mut self, is_used: bool) {
+        if let Some(quota) = &mut self.quota {
             quota.set_used(is_used);
         }
     }
@@ -123,7 +123,7 @@
             let mut run = RequestRun::new(edge.clone(), routing, request);
             let outcome = run.run().await;
             if outcome.reason.means_not_run() {
-                run.routing().set_quota_used(false);
+                run.routing_mut().set_quota_used(false);
             }
             (outcome, Ok(run))
         }
@@ -308,7 +308,7 @@
 fn admit_to_quota(
     edge: &Arc<Edge>,
     caller: &CallerIdentity,
-) -> Result<Option<Arc<QuotaGuard>>, Refusal> {
+) -> Result<Option<QuotaGuard>, Refusal> {
     let Some(organisation) = caller.organisation() else {
         return Ok(None);
     };
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -195,6 +195,10 @@
         &self.routing
     }
 
+    pub(crate) fn routing_mut(&mut self) -> &mut Routing {
+        &mut self.routing
+    }
+
     /// Returns the servers that were tried and how the attempts ended, for the log.
     pub(crate) fn attempt_history(&self) -> String {
         self.attempt_history.join(" ")
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an edge daemon.
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 
@@ -666,7 +666,7 @@
     pub fn admit_to_quota(
         self: &Arc<Self>,
         organisation: &Organisation,
-    ) -> Result<Option<Arc<QuotaGuard>>, Duration> {
+    ) -> Result<Option<QuotaGuard>, Duration> {
         if organisation.limit.is_none() {
             return Ok(None);
         }
@@ -678,11 +678,11 @@
             .admit(&organisation.name, random, now);
         match decision {
             QuotaDecision::Unlimited => Ok(None),
-            QuotaDecision::Admit(token) => Ok(Some(Arc::new(QuotaGuard {
+            QuotaDecision::Admit(token) => Ok(Some(QuotaGuard {
                 edge: self.clone(),
                 token,
-                is_used: AtomicBool::new(false),
-            }))),
+                is_used: false,
+            })),
             QuotaDecision::Refuse { retry_after } => Err(retry_after),
         }
     }
@@ -775,7 +775,7 @@
 pub struct QuotaGuard {
     edge: Arc<Edge>,
     token: QuotaToken,
-    is_used: AtomicBool,
+    is_used: bool,
 }
 
 impl fmt::Debug for QuotaGuard {
@@ -787,14 +787,14 @@
 
 impl QuotaGuard {
     /// Sets whether the request has been sent to a server that may run it.
-    pub fn set_used(&self, is_used: bool) {
-        self.is_used.store(is_used, Ordering::Relaxed);
+    pub fn set_used(&mut self, is_used: bool) {
+        self.is_used = is_used;
     }
 }
 
 impl Drop for QuotaGuard {
     fn drop(&mut self) {
-        if !self.is_used.load(Ordering::Relaxed) {
+        if !self.is_used {
             let now = self.edge.clock.now();
             self.edge.lock_state().quotas.give_back(self.token, now);
         }
