Share the decayed counts of the load balancer and the queue

Cause: the queue had its own copy of the exponentially decayed count of the load balancer, and the load balancer kept the weight of aged values to itself.

Change: edge/decay.rs serves both. Behaviour stays the same.

--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod budget;
+mod decay;
 pub mod domains;
 pub mod fleet;
 pub mod key_permission;
--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -30,6 +30,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::SecondaryMap;
 
+use super::decay::{DecayedCount, decay_factor};
 use super::domains::{Destination, DomainLoad};
 use super::routes::Route;
 use super::servers::{Server, ServerKey, Servers};
@@ -330,9 +331,9 @@
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
     states: SecondaryMap<ServerKey, ServerState>,
-    request_counts: HashMap<Arc<str>, RequestCount>,
+    request_counts: HashMap<Arc<str>, DecayedCount>,
     /// Those of them that failed.
-    failure_counts: HashMap<Arc<str>, RequestCount>,
+    failure_counts: HashMap<Arc<str>, DecayedCount>,
     routes: HashMap<Arc<str>, RouteLatency>,
 }
 
@@ -345,33 +346,11 @@
     mean_bytes: f64,
 }
 
-/// Recent requests to all servers of a service.
-#[derive(Debug, Default)]
-struct RequestCount {
-    /// Number of requests, exponentially decayed as of `at`.
-    decayed: f64,
-    at: Duration,
-}
-
-impl RequestCount {
-    fn record(&mut self, now: Duration) {
-        self.decayed = self.at_time(now) + 1.0;
-        self.at = now;
-    }
-
-    fn at_time(&self, now: Duration) -> f64 {
-        self.decayed * decay_factor(now.saturating_sub(self.at), REQUEST_COUNT_DECAY)
-    }
-}
-
 /// Returns the decayed number of a service's requests.
-fn recent(counts: &HashMap<Arc<str>, RequestCount>, service: &str, now: Duration) -> f64 {
-    counts.get(service).map_or(0.0, |count| count.at_time(now))
-}
-
-/// Returns the remaining weight of a value of the given age; `decay` is the time constant.
-fn decay_factor(age: Duration, decay: Duration) -> f64 {
-    (-age.as_secs_f64() / decay.as_secs_f64()).exp()
+fn recent(counts: &HashMap<Arc<str>, DecayedCount>, service: &str, now: Duration) -> f64 {
+    counts
+        .get(service)
+        .map_or(0.0, |count| count.at_time(REQUEST_COUNT_DECAY, now))
 }
 
 /// What a request that can't be retried has to know about the servers of its service.
@@ -487,10 +466,11 @@
         let state = entry.or_default();
         if matches!(evidence, Evidence::Failure | Evidence::Overdue) {
             let failures = self.failure_counts.entry(service.clone()).or_default();
-            failures.record(now);
+            failures.record(REQUEST_COUNT_DECAY, now);
         }
         if evidence != Evidence::Overdue {
-            self.request_counts.entry(service).or_default().record(now);
+            let requests = self.request_counts.entry(service).or_default();
+            requests.record(REQUEST_COUNT_DECAY, now);
         }
         match evidence {
             Evidence::Success(relative_latency) => {
--- a/crates/corianderworks_decision/src/edge/waiting.rs
+++ b/crates/corianderworks_decision/src/edge/waiting.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use super::admission::retry_after;
+use super::decay::DecayedCount;
 
 /// Share of the slots of a service that are taken from which on requests of lower priority wait.
 const FULL_SHARE: f64 = 0.9;
@@ -164,32 +165,13 @@
     bytes: usize,
 }
 
-/// Decayed number of events.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    count: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn record(&mut self, decay: Duration, now: Duration) {
-        self.count = self.count_at(decay, now) + 1.0;
-        self.at = now;
-    }
-
-    fn count_at(&self, decay: Duration, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at);
-        self.count * (-age.as_secs_f64() / decay.as_secs_f64()).exp()
-    }
-}
-
 #[derive(Debug, Default)]
 struct ServiceShare {
     /// Completions of all daemons.
-    completions: Rate,
+    completions: DecayedCount,
     /// Own requests of the highest priority that were sent, and others.
-    urgent: Rate,
-    others: Rate,
+    urgent: DecayedCount,
+    others: DecayedCount,
     /// Requests that this daemon may send, negative if it has sent more.
     credit: f64,
     /// Same for the requests that have waited longest.
@@ -204,7 +186,7 @@
 impl ServiceShare {
     /// Returns the number of requests per second that the service completes, as reported.
     fn reported_per_s(&self, now: Duration) -> f64 {
-        let count = self.completions.count_at(COMPLETION_DECAY, now);
+        let count = self.completions.at_time(COMPLETION_DECAY, now);
         count / COMPLETION_DECAY.as_secs_f64()
     }
 
@@ -258,8 +240,8 @@
 
     /// Returns the expected time until the request behind `ahead` others is sent.
     fn expected_wait(&self, ahead: usize, load: ServiceLoad, now: Duration) -> Duration {
-        let others = self.others.count_at(OWN_DECAY, now) + 1.0;
-        let urgent = self.urgent.count_at(OWN_DECAY, now) + 1.0;
+        let others = self.others.at_time(OWN_DECAY, now) + 1.0;
+        let urgent = self.urgent.at_time(OWN_DECAY, now) + 1.0;
         let per_s = self.expected_per_s(load, now) / load.daemons.max(1) as f64;
         let usable_per_s = per_s * others / (others + urgent);
         let per_s = usable_per_s.max(self.reserved_per_s(load, now)).max(0.01);
