Pick by weight and tell the age of reports in one function each

Cause: the split of a route and the choice of a domain had the same loop over weights, and two functions of the fleet the same condition on the last report.

Change: pick_weighted and KnownMember::has_reported_within. Behaviour stays the same.

--- a/crates/corianderworks_decision/src/edge/domains.rs
+++ b/crates/corianderworks_decision/src/edge/domains.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::routes::pick_weighted;
+
 /// Interval between two adjustments of the share. Longer than it takes until the daemons of other
 /// domains learn of a request (about 100 ms), so that each step is seen before the next.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(150);
@@ -264,15 +266,8 @@
 
     /// Returns a domain that takes requests, with a probability proportional to its room.
     fn select(&self, point: f64) -> Option<&Arc<str>> {
-        let total: f64 = self.open.iter().map(|(_, weight)| weight).sum();
-        let mut remaining = point * total;
-        for (domain, weight) in &self.open {
-            remaining -= weight;
-            if remaining < 0.0 {
-                return Some(domain);
-            }
-        }
-        self.open.last().map(|(domain, _)| domain)
+        let picked = pick_weighted(&self.open, |(_, weight)| *weight, point);
+        picked.map(|(domain, _)| domain)
     }
 }
 
--- a/crates/corianderworks_decision/src/edge/fleet.rs
+++ b/crates/corianderworks_decision/src/edge/fleet.rs
@@ -145,6 +145,13 @@
     has_reported: bool,
 }
 
+impl KnownMember {
+    /// Whether the last report arrived less than `age_max` ago.
+    fn has_reported_within(&self, age_max: Duration, now: Duration) -> bool {
+        self.has_reported && now.saturating_sub(self.last_received) < age_max
+    }
+}
+
 /// This daemon and all other daemons that it knows of.
 #[derive(Debug)]
 pub struct Fleet {
@@ -259,14 +266,13 @@
     /// Whether the last report of a run arrived less than `age_max` ago.
     pub fn has_reported_within(&self, key: RunKey, age_max: Duration, now: Duration) -> bool {
         let known = self.by_key.get(&key).and_then(|vm| self.known.get(vm));
-        known.is_some_and(|k| k.has_reported && now.saturating_sub(k.last_received) < age_max)
+        known.is_some_and(|k| k.has_reported_within(age_max, now))
     }
 
     /// Returns the number of daemons, including this one, whose last report arrived less than
     /// `age_max` ago.
     pub fn reporting_count(&self, age_max: Duration, now: Duration) -> usize {
-        let reported =
-            |k: &&KnownMember| k.has_reported && now.saturating_sub(k.last_received) < age_max;
+        let reported = |k: &&KnownMember| k.has_reported_within(age_max, now);
         1 + self.known.values().filter(reported).count()
     }
 
--- a/crates/corianderworks_decision/src/edge/routes.rs
+++ b/crates/corianderworks_decision/src/edge/routes.rs
@@ -72,16 +72,25 @@
     /// Selects the service for a request by weight, or returns `None` if the route refuses all
     /// requests. `point` is uniformly distributed in 0..1.
     pub fn select_service(&self, point: f64) -> Option<&Arc<str>> {
-        let total: u64 = self.split.iter().map(|p| u64::from(p.weight)).sum();
-        let mut remaining = point * total as f64;
-        for part in &self.split {
-            remaining -= f64::from(part.weight);
-            if remaining < 0.0 {
-                return Some(&part.service);
-            }
+        let part = pick_weighted(&self.split, |part| f64::from(part.weight), point);
+        part.map(|part| &part.service)
+    }
+}
+
+/// Picks an item with a probability in proportion to its weight, or returns `None` if there are none.
+/// `point` is uniformly distributed in 0..1.
+pub(super) fn pick_weighted<T, F>(items: &[T], weight: F, point: f64) -> Option<&T>
+where
+    F: Fn(&T) -> f64,
+{
+    let mut remaining = point * items.iter().map(&weight).sum::<f64>();
+    for item in items {
+        remaining -= weight(item);
+        if remaining < 0.0 {
+            return Some(item);
         }
-        self.split.last().map(|p| &p.service)
     }
+    items.last()
 }
 
 /// Settings that apply to all backend servers of a service.
