Tests: start the edge daemon as a process in one place

Cause: the crowd tests, the soak and the test of a stopped daemon each built the same command.

Change: tests/support/edge_process.rs starts it. Nothing else changes.

--- a/crates/corianderworks/tests/crowd/daemon.rs
+++ b/crates/corianderworks/tests/crowd/daemon.rs
@@ -3,10 +3,11 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Stdio};
 use std::time::{Duration, Instant};
 
-const BINARY: &str = env!("CARGO_BIN_EXE_corianderworks");
+use crate::edge_process;
+
 const CALLERS_PORT: u16 = 8_080;
 const READY_PORT: u16 = 8_081;
 const DIRECTORY_PORT: u16 = 8_083;
@@ -51,14 +52,7 @@
         std::fs::write(&settings, text).expect("settings are written");
         let log_file =
             |kind: &str| Stdio::from(File::create(directory.join(kind)).expect("a log file"));
-        let process = Command::new(BINARY)
-            .arg("edge")
-            .env("CORIANDERWORKS_BOOT", &settings)
-            .stdin(Stdio::null())
-            .stdout(log_file("out"))
-            .stderr(log_file("err"))
-            .spawn()
-            .expect("a process");
+        let process = edge_process::start(&settings, log_file("out"), log_file("err"));
         let address = |port| format!("{ip}:{port}").parse().expect("an address");
         let daemon = Self {
             callers: address(CALLERS_PORT),
--- a/crates/corianderworks/tests/crowd/main.rs
+++ b/crates/corianderworks/tests/crowd/main.rs
@@ -8,6 +8,8 @@
 mod backend;
 mod callers;
 mod daemon;
+#[path = "../support/edge_process.rs"]
+mod edge_process;
 #[path = "../../../corianderworks_edge/tests/support/store.rs"]
 #[allow(dead_code, reason = "shared with the tests of the edge daemon")]
 mod store;
--- a/crates/corianderworks/tests/edge_key_revocation.rs
+++ b/crates/corianderworks/tests/edge_key_revocation.rs
@@ -1,5 +1,7 @@
 //! An edge daemon that is stopped by a signal while a key is withdrawn, as a separate process.
 
+#[path = "support/edge_process.rs"]
+mod edge_process;
 #[path = "../../corianderworks_edge/tests/support/mod.rs"]
 mod support;
 
@@ -27,10 +29,11 @@
 
 impl Process {
     fn start(settings: &Path) -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_corianderworks"));
-        command.arg("edge").env("CORIANDERWORKS_BOOT", settings);
-        command.stdin(Stdio::null()).stdout(Stdio::null());
-        Self(command.spawn().expect("a process"))
+        Self(edge_process::start(
+            settings,
+            Stdio::null(),
+            Stdio::inherit(),
+        ))
     }
 
     fn signal(&self, name: &str) {
--- a/crates/corianderworks/tests/soak/fleet.rs
+++ b/crates/corianderworks/tests/soak/fleet.rs
@@ -6,9 +6,9 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::edge_process;
 use crate::proxy::Proxy;
 
-const BINARY: &str = env!("CARGO_BIN_EXE_corianderworks");
 const CALLERS_PORT: u16 = 8_080;
 const READY_PORT: u16 = 8_081;
 const CONTROL_PORT: u16 = 8_082;
@@ -76,14 +76,7 @@
             let file = File::options().create(true).append(true).open(path);
             Stdio::from(file.expect("a log file"))
         };
-        let child = Command::new(BINARY)
-            .arg("edge")
-            .env("CORIANDERWORKS_BOOT", &settings)
-            .stdin(Stdio::null())
-            .stdout(log_file("out"))
-            .stderr(log_file("err"))
-            .spawn()
-            .expect("a process");
+        let child = edge_process::start(&settings, log_file("out"), log_file("err"));
         self.process = Some(child);
         self.start_count += 1;
     }
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -10,6 +10,8 @@
 
 mod backend;
 mod callers;
+#[path = "../support/edge_process.rs"]
+mod edge_process;
 mod fleet;
 mod history;
 mod proxy;
