Review case 10: a stopping daemon closes connections with unsent answers

Cause: after the last answer is in the kernel, the daemon waits 1 s for the caller and closes the socket; a request that still arrives resets it. Adds the case with its script.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,6 +8,7 @@
 mod reset_early_answer;
 mod slow_reading_client;
 mod slow_reading_upstream;
+mod stop_beside_slow_reader;
 mod store;
 mod upstream;
 
@@ -56,6 +57,7 @@
             "reset-early-answer" => reset_early_answer::play(&record, trouble),
             "slow-reading-client" => slow_reading_client::play(&record, trouble),
             "slow-reading-upstream" => slow_reading_upstream::play(&record, trouble),
+            "stop-beside-slow-reader" => stop_beside_slow_reader::play(&record, trouble),
             _ => Err(io::Error::other("unknown case")),
         };
         if let Err(error) = &verdict {
