--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,11 +4,11 @@
 
 mod fleet;
 mod http;
+mod memory_limit;
 mod pausing_upstream;
 mod reset_early_answer;
 mod slow_reading_client;
 mod slow_reading_upstream;
-mod stop_beside_slow_reader;
 mod store;
 mod upstream;
 
@@ -53,11 +53,11 @@
     let played = Record::create(&Path::new(directory).join("record.txt")).and_then(|record| {
         record.note(&format!("case {case}, disruption: {trouble}"));
         let verdict = match case.as_str() {
+            "memory-limit" => memory_limit::play(&record, trouble),
             "pausing-upstream" => pausing_upstream::play(&record, trouble),
             "reset-early-answer" => reset_early_answer::play(&record, trouble),
             "slow-reading-client" => slow_reading_client::play(&record, trouble),
             "slow-reading-upstream" => slow_reading_upstream::play(&record, trouble),
-            "stop-beside-slow-reader" => stop_beside_slow_reader::play(&record, trouble),
             _ => Err(io::Error::other("unknown case")),
         };
         if let Err(error) = &verdict {
