--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,6 @@
-//! Stand-ins and scripts of the second review. `review-2 CASE DIRECTORY` plays a case and writes
+//! Stand-ins and scripts of the second review. `review-2 CASE DIRECTORY TROUBLE` plays a case and writes
 //! `record.txt` into the directory. It exits with 1 if the rule was broken, with 0 if it held, and
-//! with 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
+//! with 2 if the case couldn't run. If TROUBLE is 0, the disruption is left out.
 
 mod fleet;
 mod http;
@@ -46,10 +46,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().collect();
-    let [_, case, directory] = &arguments[..] else {
+    let [_, case, directory, trouble] = &arguments[..] else {
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "0";
     let played = Record::create(&Path::new(directory).join("record.txt")).and_then(|record| {
         record.note(&format!("case {case}, disruption: {trouble}"));
         let verdict = match case.as_str() {
