Log what an edge daemon believes of its servers, and the attempts of requests whose caller left

Cause: the log didn't say when or why a server came under suspicion, though that decides where requests go. The line of a request whose caller left named neither route nor server. Removals named a server by the key of an arena, and a list that removes 4,000 servers wrote as many lines. `trace` explained 13 of the 25 reasons and repeated the names of the others.

Change: `Suspicions` in the decision crate records the moments at which a server is suspected and ceases to be, with the evidence and who observed it; the edge crate logs them, at most 100 lines a second. One object logs the end of a request, also if its future is dropped, with the same fields. An attempt that still runs is marked `(unfinished)`. Removals carry id and service and are limited like other changes. Reasons are one table with name, status and explanation, which log, metric, response body and `trace` share. `trace` shows the suspicions of the servers of a request.

--- a/crates/corianderworks/src/trace.rs
+++ b/crates/corianderworks/src/trace.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use corianderworks_edge::reason::Reason;
 use jiff::Timestamp;
 use serde::Serialize;
 use serde_json::Value;
@@ -191,14 +192,33 @@
         ));
         let changes = nearby.iter().filter(|l| l.text("server") == server);
         let of_this_vm = changes.filter(|l| l.vm == matching.vm);
-        descriptions.extend(of_this_vm.map(|l| {
-            let what = [l.text("what"), l.text("change")].concat();
-            format!("{} {}: {server} {what}", l.at, l.text("message"))
-        }));
+        descriptions.extend(
+            of_this_vm.map(|l| format!("{} {}: {server} {}", l.at, l.text("message"), change(l))),
+        );
     }
     descriptions
 }
 
+/// Describes what a line about a server says has changed.
+fn change(line: &LogLine) -> String {
+    let (evidence, source) = (line.text("evidence"), line.text("source"));
+    match line.text("message") {
+        "servers: suspected" => {
+            format!("{evidence} ({source}), failing {}", line.text("failing"))
+        }
+        "servers: no longer suspected" => {
+            let number = |field: &str| line.fields[field].as_u64().unwrap_or_default();
+            let (ms, failures) = (number("suspected_ms"), number("failures"));
+            let because = match evidence {
+                "none" => "no evidence for some time".to_owned(),
+                evidence => format!("{evidence} ({source})"),
+            };
+            format!("{because}, after {ms} ms and {failures} failures")
+        }
+        _ => [line.text("what"), line.text("change")].concat(),
+    }
+}
+
 /// Returns the starts and stops of the line's daemon around its time, or those of all daemons if
 /// there is no line.
 fn lifecycle_events(lines: &[LogLine], matching: Option<&&LogLine>) -> Vec<String> {
@@ -217,29 +237,15 @@
 fn cause(line: &LogLine) -> String {
     let attempts = line.attempts();
     let attempts_text = match attempts.last() {
-        // This line is logged when the request's future is dropped, without its attempts.
-        None if line.text("reason") == "caller-left" => {
+        // Older daemons log this line without the attempts.
+        None if line.text("reason") == "caller-left" && line.fields["servers"].is_null() => {
             "its attempts are not in the log".to_owned()
         }
         None => "it was sent to no backend server".to_owned(),
         Some((server, _)) => format!("attempts: {}, the last at {server}", attempts.len()),
     };
-    let reason_text = match line.text("reason") {
-        "served" => "served",
-        "server-failed" => "a backend server processed it and responded with an error",
-        "no-configuration" => "the daemon had no configuration yet",
-        "no-route" => "no route matches",
-        "no-server" => "the service has no backend server that accepts requests",
-        "no-capacity" => "no backend server could finish in the remaining time",
-        "servers-full" => "the backend servers refused it because they were full",
-        "unreachable" => "no connection to a backend server could be established",
-        "stopping" => "the daemon was stopping",
-        "stopped" => "the daemon had to exit while a server was processing it",
-        "no-response" => "it was sent, but its response is missing or malformed",
-        "timed-out" => "the deadline or the route's timeout expired while a server processed it",
-        "caller-left" => "the caller closed its connection",
-        other => other,
-    };
+    let reason_name = line.text("reason");
+    let reason_text = Reason::from_name(reason_name).map_or(reason_name, |r| r.explanation());
     let mut text = format!("{reason_text}; {attempts_text}");
     if line.text("servers").contains("no budget") {
         text.push_str("; the fleet's retry budget for the last 10 s was used up");
--- a/crates/corianderworks/tests/trace.rs
+++ b/crates/corianderworks/tests/trace.rs
@@ -1,6 +1,7 @@
 //! Reconstruction of a request from the logs of several daemons.
 
 use corianderworks::trace::request_trace;
+use corianderworks_edge::reason::Reason;
 
 const VM_1_LOG: &str = r#"
 {"timestamp":"2026-02-24T22:40:50.000Z","message":"daemon: starting","vm":"vm-1"}
@@ -60,3 +61,43 @@
     );
     assert!(request_trace.cause.starts_with("no line has this id"));
 }
+
+/// Guards against a reason that `trace` repeats without telling what it means.
+#[test]
+fn each_reason_is_explained() {
+    for reason in Reason::ALL {
+        let name = reason.name();
+        let line = format!(
+            r#"{{"timestamp":"2026-02-24T22:40:57.000Z","message":"forward: ended","request":"r","servers":"","reason":"{name}","status":503,"took_ms":1}}"#
+        );
+        let cause = request_trace("r", &[("vm-1".to_owned(), line)]).cause;
+        let explanation = reason.explanation();
+        assert!(cause.starts_with(&format!("{explanation};")), "{cause}");
+        assert!(
+            explanation == "served" || explanation.contains(' '),
+            "{name}: {explanation}"
+        );
+    }
+}
+
+/// Guards against a trace that shows that a server failed, but not that the daemon already
+/// suspected it, since when and why.
+#[test]
+fn suspicions_of_the_servers_are_shown() {
+    let log = r#"
+{"timestamp":"2026-02-24T22:40:56.000Z","message":"servers: suspected","server":"s1","service":"ledger","evidence":"failure","source":"peer","failing":"0.71","omitted":0}
+{"timestamp":"2026-02-24T22:40:56.500Z","message":"servers: suspected","server":"s2","service":"ledger","evidence":"overdue","source":"own","failing":"0.45","omitted":0}
+{"timestamp":"2026-02-24T22:40:57.000Z","message":"forward: ended","request":"asked","servers":"s1(busy 0, failing 0.60, expected 198 ms, idle 3000 ms) failed:500","reason":"server-failed","status":500,"took_ms":3}
+{"timestamp":"2026-02-24T22:40:59.000Z","message":"servers: no longer suspected","server":"s1","service":"ledger","evidence":"none","suspected_ms":3000,"failures":4,"omitted":0}
+"#;
+    let request_trace = request_trace("asked", &[("vm-1".to_owned(), log.to_owned())]);
+    assert_eq!(
+        request_trace.context,
+        [
+            "s1: 1 of 1 attempts of all daemons within 5 s were not served",
+            "2026-02-24T22:40:56Z servers: suspected: s1 failure (peer), failing 0.71",
+            "2026-02-24T22:40:59Z servers: no longer suspected: s1 no evidence for some time, after \
+             3000 ms and 4 failures",
+        ]
+    );
+}
--- a/crates/corianderworks_decision/src/edge.rs
+++ b/crates/corianderworks_decision/src/edge.rs
@@ -20,4 +20,5 @@
 pub mod routes;
 pub mod servers;
 pub mod shutdown;
+pub mod suspicions;
 pub mod waiting;
--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -157,6 +157,18 @@
 }
 
 impl Evidence {
+    /// Returns the name used in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Success(_) => "success",
+            Self::Failure => "failure",
+            Self::Shed => "shed",
+            Self::Overdue => "overdue",
+            Self::Unreachable => "unreachable",
+            Self::Misdirected => "misdirected",
+        }
+    }
+
     /// Whether the observation indicates a problem with the server.
     pub fn is_negative(&self) -> bool {
         !matches!(self, Self::Success(_))
@@ -548,6 +560,18 @@
         self.routes.retain(|name, _| is_configured(name));
     }
 
+    /// Returns the probability that a server is failing; that of a new one if it isn't listed.
+    pub fn failing_probability(&self, key: ServerKey, now: Duration) -> f64 {
+        let state = self.states.get(key);
+        state.map_or(FAILING_PROBABILITY_NEW, |s| s.failing_probability_at(now))
+    }
+
+    /// Whether a server is suspected: it probably fails, and is seldom used until its evidence is
+    /// too old or it has served requests.
+    pub fn is_suspected(&self, key: ServerKey, now: Duration) -> bool {
+        self.states.get(key).is_some_and(|s| s.is_suspected_at(now))
+    }
+
     /// Returns the number of requests that this daemon has in flight at a server.
     pub fn own_in_flight(&self, key: ServerKey) -> u32 {
         self.states.get(key).map_or(0, |s| s.own_in_flight)
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -161,12 +161,23 @@
     /// A server started draining.
     Draining(ServerKey),
     /// A server was removed.
-    Removed(ServerKey),
+    Removed(RemovedServer),
     /// The entry of a server lapsed around a store outage; the server is kept for the grace
     /// period.
     Lapsed(ServerKey),
 }
 
+/// A server that has just been removed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemovedServer {
+    /// Key that it had; no longer valid.
+    pub key: ServerKey,
+    /// Its id in the store.
+    pub id: Arc<str>,
+    /// Name of the service that it ran.
+    pub service: Arc<str>,
+}
+
 /// Latest contact of the fleet with the store, as far as this daemon knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum StoreContact {
@@ -268,6 +279,15 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the time since the store was last known to answer, to this daemon or to another one
+    /// that told it; `None` if it never was.
+    pub fn since_store_response(&self, now: Duration) -> Option<Duration> {
+        match self.store_contact {
+            StoreContact::LastAt(at) => Some(now.saturating_sub(at)),
+            StoreContact::None | StoreContact::Failing => None,
+        }
+    }
+
     /// Returns the servers of a service, in no particular order.
     pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = (ServerKey, &'a Server)>
     where
@@ -407,8 +427,9 @@
                 .get_or_insert(now + grace.min(LAPSE_GRACE));
             return Change::Lapsed(key);
         }
+        let (id, service) = (server.entry.id.clone(), server.entry.service.clone());
         self.remove_server(key, now);
-        Change::Removed(key)
+        Change::Removed(RemovedServer { key, id, service })
     }
 
     /// Returns a digest of all entries that are in the store. It doesn't depend on their order.
@@ -445,20 +466,24 @@
     }
 
     /// Removes the servers whose entries lapsed and were not renewed within the grace period.
-    pub fn remove_expired(&mut self, now: Duration) -> Vec<ServerKey> {
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<RemovedServer> {
         let expired = |s: &Server| s.expires_at.is_some_and(|at| now >= at);
-        let keys: Vec<_> = self
+        let removed: Vec<_> = self
             .arena
             .iter()
             .filter(|(_, s)| expired(s))
-            .map(|(k, _)| k)
+            .map(|(key, server)| RemovedServer {
+                key,
+                id: server.entry.id.clone(),
+                service: server.entry.service.clone(),
+            })
             .collect();
-        for key in &keys {
-            self.remove_server(*key, now);
+        for server in &removed {
+            self.remove_server(server.key, now);
         }
         self.removed
             .retain(|_, r| now.saturating_sub(r.at) < REMOVED_MEMORY);
-        keys
+        removed
     }
 
     fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
--- a/crates/corianderworks_decision/tests/edge_server_use/simulation.rs
+++ b/crates/corianderworks_decision/tests/edge_server_use/simulation.rs
@@ -231,7 +231,7 @@
                 for domain in &mut self.domains {
                     let id = format!("s{index}");
                     let removed = domain.servers.remove_entry(&id, 1, Duration::ZERO, now);
-                    assert_eq!(removed, Change::Removed(key));
+                    assert!(matches!(removed, Change::Removed(r) if r.key == key));
                     domain.load_balancer.remove_server(key);
                 }
                 self.add_server(service, now);
--- a/crates/corianderworks_edge/src/forward.rs
+++ b/crates/corianderworks_edge/src/forward.rs
@@ -87,8 +87,8 @@
 }
 
 impl Refusal {
-    fn organisation(&self) -> Option<&str> {
-        self.quota.as_ref().map(|(name, _)| &**name)
+    fn organisation(&self) -> Option<&Arc<str>> {
+        self.quota.as_ref().map(|(name, _)| name)
     }
 
     fn into_reply(self, request_id: Option<Bytes>) -> Reply {
@@ -115,36 +115,36 @@
 /// Dropping the future aborts the attempts and logs that the caller disconnected.
 pub async fn forward_request(edge: Arc<Edge>, request: CallerRequest) -> Reply {
     let request_id = request.request_id();
-    let head = request.head.clone();
-    let received_at = request.received_at;
-    let mut disconnect_logger = DisconnectLogger::new(&edge, &request);
-    let (outcome, run) = match routing(&edge, &request) {
+    let mut ending = RequestEnding::new(&edge, &request);
+    let outcome = match routing(&edge, &request) {
         Ok(routing) => {
-            let mut run = RequestRun::new(edge.clone(), routing, request);
+            let run = RequestRun::new(edge.clone(), routing, request);
+            let run = ending.run.insert(run);
             let outcome = run.run().await;
             if outcome.reason.means_not_run() {
                 run.routing_mut().set_quota_used(false);
             }
-            (outcome, Ok(run))
+            outcome
         }
         Err(refusal) => {
-            let organisation = refusal.organisation().map(str::to_owned);
+            ending.refused_organisation = refusal.organisation().cloned();
             let reason = refusal.reason;
             let reply = refusal.into_reply(request_id);
-            (Outcome { reason, reply }, Err(organisation))
+            Outcome { reason, reply }
         }
     };
-    disconnect_logger.completed = true;
-    log_request(
-        &edge,
-        &head,
-        received_at,
-        &outcome,
-        run.as_ref().map_err(Option::as_deref),
-    );
+    ending.log(outcome.reason, Some(status(&outcome.reply)));
     outcome.reply
 }
 
+fn status(reply: &Reply) -> u16 {
+    match reply {
+        Reply::Upstream { response, .. } => response.head.status,
+        Reply::Local { reason, .. } => reason.status().0,
+        Reply::Continue => 100,
+    }
+}
+
 /// Returns the response to a request that isn't forwarded. If the reason is temporary, it says when
 /// the caller may retry.
 pub(crate) fn reply_without_attempt(reason: Reason, request_id: Option<Bytes>) -> Reply {
@@ -163,45 +163,79 @@
     }
 }
 
-/// Logs and counts a request whose caller disconnected, in which case the future of the request is
-/// dropped before it completes.
-struct DisconnectLogger {
+/// Logs and counts the end of a request. If the caller disconnects, the future of the request is
+/// dropped before it completes, and this with it.
+struct RequestEnding {
     edge: Arc<Edge>,
     head: Arc<RequestHead>,
     received_at: Instant,
-    completed: bool,
+    /// Attempts of the request; `None` if it was refused before it had a server.
+    run: Option<RequestRun>,
+    /// Organisation of a request that exceeds a quota.
+    refused_organisation: Option<Arc<str>>,
+    is_logged: bool,
 }
 
-impl DisconnectLogger {
+impl RequestEnding {
     fn new(edge: &Arc<Edge>, request: &CallerRequest) -> Self {
         Self {
             edge: edge.clone(),
             head: request.head.clone(),
             received_at: request.received_at,
-            completed: false,
+            run: None,
+            refused_organisation: None,
+            is_logged: false,
         }
     }
+
+    /// Logs and counts the end. `status` is that of the response, `None` if there is none.
+    fn log(&mut self, reason: Reason, status: Option<u16>) {
+        self.is_logged = true;
+        let (edge, took) = (&self.edge, self.received_at.elapsed());
+        edge.metrics.request(reason, took);
+        let run = self.run.as_ref();
+        if let Some(run) = run.filter(|_| reason.status().0 == 503) {
+            edge.metrics.refusal(reason, run.routing().priority);
+        }
+        let limiter = match reason {
+            Reason::Served => &edge.served_log_limit,
+            _ => &edge.failed_log_limit,
+        };
+        let Some(omitted) = limiter.try_acquire(edge.clock.now()) else {
+            return;
+        };
+        let message = match reason {
+            Reason::CallerLeft => "forward: caller left",
+            _ => "forward: ended",
+        };
+        let organisation = run
+            .and_then(|r| r.routing().caller.organisation())
+            .map(|o| &o.name)
+            .or(self.refused_organisation.as_ref());
+        tracing::info!(
+            request = id_text(&self.head),
+            method = self.head.method,
+            path = self.head.path(),
+            route = run.map(|r| &*r.routing().route.name),
+            service = run.map(|r| &*r.routing().service),
+            configuration = run.map(|r| r.routing().version.0),
+            priority = run.map(|r| r.routing().priority),
+            organisation = organisation.map(|name| &**name),
+            servers = run.map(|r| r.attempt_history(reason)),
+            queued_ms = run.map(|r| r.queued_for().as_millis() as u64),
+            reason = reason.name(),
+            status,
+            took_ms = took.as_millis() as u64,
+            omitted,
+            "{message}"
+        );
+    }
 }
 
-impl Drop for DisconnectLogger {
+impl Drop for RequestEnding {
     fn drop(&mut self) {
-        if self.completed {
-            return;
-        }
-        let took = self.received_at.elapsed();
-        self.edge.metrics.request(Reason::CallerLeft, took);
-        if let Some(omitted) = self
-            .edge
-            .failed_log_limit
-            .try_acquire(self.edge.clock.now())
-        {
-            tracing::info!(
-                request = id_text(&self.head),
-                reason = Reason::CallerLeft.name(),
-                took_ms = took.as_millis() as u64,
-                omitted,
-                "forward: caller left"
-            );
+        if !self.is_logged {
+            self.log(Reason::CallerLeft, None);
         }
     }
 }
@@ -210,54 +244,6 @@
     head.headers.text(headers::REQUEST_ID).unwrap_or("-")
 }
 
-fn log_request(
-    edge: &Edge,
-    head: &RequestHead,
-    received_at: Instant,
-    outcome: &Outcome,
-    run: Result<&RequestRun, Option<&str>>,
-) {
-    let took = received_at.elapsed();
-    edge.metrics.request(outcome.reason, took);
-    let refused_organisation = run.err().flatten();
-    let run = run.ok();
-    if let Some(run) = run.filter(|_| outcome.reason.status().0 == 503) {
-        edge.metrics.refusal(outcome.reason, run.routing().priority);
-    }
-    let limiter = match outcome.reason {
-        Reason::Served => &edge.served_log_limit,
-        _ => &edge.failed_log_limit,
-    };
-    let Some(omitted) = limiter.try_acquire(edge.clock.now()) else {
-        return;
-    };
-    let status = match &outcome.reply {
-        Reply::Upstream { response, .. } => response.head.status,
-        Reply::Local { reason, .. } => reason.status().0,
-        Reply::Continue => 100,
-    };
-    tracing::info!(
-        request = id_text(head),
-        method = head.method,
-        path = head.path(),
-        route = run.map(|r| &*r.routing().route.name),
-        service = run.map(|r| &*r.routing().service),
-        configuration = run.map(|r| r.routing().version.0),
-        priority = run.map(|r| r.routing().priority),
-        organisation = run
-            .and_then(|r| r.routing().caller.organisation())
-            .map(|o| &*o.name)
-            .or(refused_organisation),
-        servers = run.map(RequestRun::attempt_history),
-        queued_ms = run.map(|r| r.queued_for().as_millis() as u64),
-        reason = outcome.reason.name(),
-        status,
-        took_ms = took.as_millis() as u64,
-        omitted,
-        "forward: ended"
-    );
-}
-
 /// Returns a random number in 0..1 that spreads the retries of refused callers over time.
 pub(crate) fn jitter() -> f64 {
     rand::rng().random()
--- a/crates/corianderworks_edge/src/lib.rs
+++ b/crates/corianderworks_edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! forwards the requests of callers, and reports load and failures to the other daemons.
 
 pub mod account;
+pub mod belief_log;
 pub mod caller;
 pub mod daemon;
 pub mod forward;
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -8,6 +8,7 @@
 use corianderworks_decision::edge::peer_load::{Report, ServerTag, StoreView};
 use corianderworks_decision::edge::quota;
 use corianderworks_decision::edge::servers::ServerEntry;
+use corianderworks_decision::edge::suspicions::Observer;
 
 use crate::peers::StoreUpdate;
 use crate::state::{Edge, EdgeState, PendingReport};
@@ -161,7 +162,7 @@
         if let Some(server) = self.servers.get(key) {
             self.load_balancer
                 .observe_reported((key, server), evidence, now);
-            self.count_evidence(key, evidence, now);
+            self.count_evidence(key, evidence, Observer::Peer, now);
         }
     }
 
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -199,9 +199,14 @@
         &mut self.routing
     }
 
-    /// Returns the servers that were tried and how the attempts ended, for the log.
-    pub(crate) fn attempt_history(&self) -> String {
-        self.attempt_history.join(" ")
+    /// Returns the servers that were tried and how the attempts ended, for the log line of a request
+    /// that ended for `reason`.
+    pub(crate) fn attempt_history(&self, reason: Reason) -> String {
+        let mut history = self.attempt_history.join(" ");
+        if reason != Reason::Served && !self.attempts.is_empty() {
+            history.push_str(" (unfinished)");
+        }
+        history
     }
 
     fn choose(&self, candidates: Candidates<'_>) -> Option<(Choice, Target)> {
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -26,6 +26,7 @@
     Announcement, Change, ServerEntry, ServerKey, Servers,
 };
 use corianderworks_decision::edge::shutdown::{Phase, admits};
+use corianderworks_decision::edge::suspicions::{Cause, Observer};
 use corianderworks_platform::settings::Settings;
 use parking_lot::{Mutex, MutexGuard};
 use rand::Rng;
@@ -33,6 +34,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::account::{Account, MemoryGuard, MemoryKind};
+use crate::belief_log::BeliefLog;
 use crate::logs::LineRateLimiter;
 use crate::metrics::{Metrics, MetricsError};
 use crate::upstream::{ConnectionPool, Target};
@@ -60,6 +62,8 @@
     pub load_balancer: LoadBalancer,
     /// Share of their attempts that the services accept.
     pub acceptance: Acceptance,
+    /// Record of suspected servers, which logs its changes.
+    pub belief_log: BeliefLog,
     /// Requests that wait at this daemon.
     pub waiting: WaitingRequests,
     /// Shares of the requests that leave this daemon's domain.
@@ -116,11 +120,21 @@
         is_new
     }
 
-    /// Counts an observation of this daemon or of another one for the service of its server.
-    pub(crate) fn count_evidence(&mut self, key: ServerKey, evidence: Evidence, now: Duration) {
+    /// Counts an observation that the load balancer has just applied for the service of its server,
+    /// and logs whether the daemon believes otherwise of the server now.
+    pub(crate) fn count_evidence(
+        &mut self,
+        key: ServerKey,
+        evidence: Evidence,
+        observer: Observer,
+        now: Duration,
+    ) {
         let Some(server) = self.servers.get(key) else {
             return;
         };
+        let cause = Cause { evidence, observer };
+        self.belief_log
+            .record(&self.load_balancer, (key, server), cause, now);
         let service = &server.entry.service;
         self.acceptance.observe(service, key, evidence, now);
         if !evidence.is_negative() {
@@ -132,6 +146,12 @@
     fn forget_server(&mut self, key: ServerKey) {
         self.load_balancer.remove_server(key);
         self.acceptance.remove_server(key);
+        self.belief_log.remove_server(key);
+    }
+
+    fn clear_aged_suspicions(&mut self, now: Duration) {
+        self.belief_log
+            .clear_aged(&self.load_balancer, &self.servers, now);
     }
 
     /// Decides whether a request leaves this daemon's domain, and where it goes.
@@ -272,6 +292,7 @@
             servers: Servers::with_lapse_outage_min(lapse_outage_min(&settings)),
             load_balancer: LoadBalancer::new(),
             acceptance: Acceptance::default(),
+            belief_log: BeliefLog::default(),
             waiting: WaitingRequests::new(settings.memory_bytes),
             domains: Domains::new(settings.crossing_cost_ns_per_byte),
             budget,
@@ -454,11 +475,18 @@
             false => Duration::ZERO,
         };
         let change = state.servers.remove_entry(id, *revision, grace, now);
-        if change != Change::Unchanged {
+        if change != Change::Unchanged
+            && let Some(omitted) = self.server_log_limit.try_acquire(now)
+        {
+            let change = match change {
+                Change::Lapsed(_) => "lapsed",
+                _ => "removed",
+            };
             tracing::info!(
                 server = id,
-                ?change,
+                change,
                 source,
+                omitted,
                 "servers: entry removed from the store"
             );
         }
@@ -493,9 +521,12 @@
             Change::Updated(key) => ("updated", *key),
             Change::Draining(key) => ("draining", *key),
             Change::Lapsed(key) => ("lapsed", *key),
-            Change::Removed(key) => {
-                tracing::info!(server = ?key, source, "servers: removed");
-                state.forget_server(*key);
+            Change::Removed(removed) => {
+                state.forget_server(removed.key);
+                if let Some(omitted) = self.server_log_limit.try_acquire(now) {
+                    let (server, service) = (&*removed.id, &*removed.service);
+                    tracing::info!(server, service, source, omitted, "servers: removed");
+                }
                 return;
             }
         };
@@ -516,10 +547,19 @@
     pub fn tick(&self) {
         let now = self.clock.now();
         let mut state = self.lock_state();
-        for key in state.servers.remove_expired(now) {
-            tracing::info!(server = ?key, "servers: removed, lapsed entry was not renewed");
-            state.forget_server(key);
+        for removed in state.servers.remove_expired(now) {
+            state.forget_server(removed.key);
+            if let Some(omitted) = self.server_log_limit.try_acquire(now) {
+                let (server, service) = (&*removed.id, &*removed.service);
+                tracing::info!(
+                    server,
+                    service,
+                    omitted,
+                    "servers: removed, lapsed entry was not renewed"
+                );
+            }
         }
+        state.clear_aged_suspicions(now);
         drop(state);
         self.pool.close_idle();
         self.account.relieve(now);
@@ -578,7 +618,7 @@
             load_balancer.observe((key, server), evidence, now);
             let tag = server.entry.tag();
             state.pending_report.evidence.push((tag, evidence));
-            state.count_evidence(key, evidence, now);
+            state.count_evidence(key, evidence, Observer::Own, now);
         }
         drop(state);
         self.report_trigger.notify_one();
