Raise six alarms of the local daemon that were only described

Change: `AlarmConditions` in the decision crate keeps since when a member has been behind in its configuration (6 s) or has differed from the VM list (60 s), when the process was paused (1 s, shown for 5 min), and how long a shutdown has waited (60 s). The control loop feeds it; refusals are kept by reason and service for 10 s. `configuration-lag`, `vm-list-differs`, `paused`, `drain-slow`, `overload` and `claims-refused` are raised from these. `partial-partition` is taken out: the membership doesn't know which members answer only indirect probes.

After: alarm_conditions.rs (4 tests) and refusals_of_a_full_service_raise_an_alarm pass; a running fleet without trouble still raises none (commands_show_the_state_of_a_running_fleet). Not shown on processes: the alarms other than overload and platform-unreachable.

--- a/crates/corianderworks/src/alarms.rs
+++ b/crates/corianderworks/src/alarms.rs
@@ -50,9 +50,6 @@
     DomainLost, "domain-lost",
         "All members of a failure domain are suspected or dead.",
         "Check the domain's network and VMs; callers and services use other domains meanwhile.";
-    PartialPartition, "partial-partition",
-        "A member can be reached only through other members.",
-        "Check the network between the two VMs; relays avoid the path meanwhile.";
     VmListDiffers, "vm-list-differs",
         "A member responds although its VM is not in the VM list, or the other way round.",
         "Nothing for a minute, the list lags; then check the VM at the platform.";
--- a/crates/corianderworks/src/control.rs
+++ b/crates/corianderworks/src/control.rs
@@ -1,6 +1,6 @@
 //! Control loop: membership, configuration, placement and the life cycle of the daemon.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use corianderworks_decision::alarm_conditions::{AlarmConditions, ObservedMember, VmDifference};
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::dispatcher::{
     Action as HomeAction, DispatchConfig, Dispatcher, Prefer as DispatchPrefer, Schedule,
@@ -48,6 +49,8 @@
 /// Interval at which the control loop checks for evidence to send; the dispatcher decides when a
 /// report is due. Without a report from the other owner, an ejection needs 1.5 times the evidence.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which the conditions that operators are alerted to are checked.
+const ALARM_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between requests to other daemons for the VM list while a starting daemon has none.
 const VM_LIST_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a backend server's drain signal stays valid after the last response that carried it;
@@ -170,6 +173,8 @@
     removed_backends: BTreeMap<Arc<str>, Vec<(Backend, Duration)>>,
     draining: HashMap<UpstreamKey, Duration>,
     generation: u64,
+    alarm_conditions: AlarmConditions,
+    next_alarm_check: Duration,
     next_evidence_check: Duration,
     stop_requested: bool,
     next_vm_list_request: Duration,
@@ -201,6 +206,44 @@
     }
 }
 
+/// Requests the conditions that operators are alerted to.
+pub struct ListAlarmConditions;
+
+/// Conditions of the control loop that operators are alerted to.
+#[derive(Debug, Clone, Default, PartialEq, Eq, kameo::Reply)]
+pub struct LastingConditions {
+    /// Members that have had an older configuration than this daemon for too long.
+    pub lagging_members: Vec<Arc<str>>,
+    /// Members that have differed from the VM list for too long.
+    pub vm_differences: Vec<(VmDifference, Arc<str>)>,
+    /// Length of the last pause of the process and the time since then, if it was lately.
+    pub pause: Option<(Duration, Duration)>,
+    /// Time for which the shutdown has waited for requests in flight, if that is too long.
+    pub slow_drain: Option<Duration>,
+}
+
+impl<C> Message<ListAlarmConditions> for Control<C>
+where
+    C: Clock,
+{
+    type Reply = LastingConditions;
+
+    async fn handle(
+        &mut self,
+        _: ListAlarmConditions,
+        _ctx: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.parts.clock.now();
+        let pause = self.alarm_conditions.recent_pause(now);
+        LastingConditions {
+            lagging_members: self.alarm_conditions.lagging_members(now),
+            vm_differences: self.alarm_conditions.vm_differences(now),
+            pause: pause.map(|p| (p.length, now.saturating_sub(p.ended_at))),
+            slow_drain: self.alarm_conditions.slow_drain(now),
+        }
+    }
+}
+
 /// Requests the status of all known members, the local daemon included.
 pub struct ListMembers;
 
@@ -248,6 +291,8 @@
             removed_backends: BTreeMap::new(),
             draining: HashMap::new(),
             generation: u64::MAX,
+            alarm_conditions: AlarmConditions::default(),
+            next_alarm_check: Duration::ZERO,
             next_evidence_check: Duration::ZERO,
             stop_requested: false,
             next_vm_list_request: Duration::ZERO,
@@ -289,6 +334,11 @@
     }
 
     fn tick(&mut self, now: Duration) {
+        self.alarm_conditions.tick(now);
+        if now >= self.next_alarm_check {
+            self.next_alarm_check = now + ALARM_CHECK_INTERVAL;
+            self.check_alarm_conditions(now);
+        }
         let actions = self.membership.tick(now);
         self.run_member_actions(now, actions);
         let actions = self.versions.tick(now);
@@ -306,6 +356,30 @@
         self.poll_lifecycle(now);
     }
 
+    fn check_alarm_conditions(&mut self, now: Duration) {
+        let members = self.membership.members().map(|member| ObservedMember {
+            name: &member.record.name,
+            version: member.record.config_version,
+            is_alive: member.state == MemberState::Alive,
+        });
+        // A planned stop is no difference: the VM is listed until the daemon has stopped.
+        let stopping: BTreeSet<&str> = self
+            .membership
+            .members()
+            .filter(|m| matches!(m.state, MemberState::Leaving | MemberState::Left))
+            .map(|m| &*m.record.name)
+            .collect();
+        let members = members.filter(|m| !stopping.contains(m.name));
+        let vms = self.parts.shared.vms.load();
+        let daemons = vms.iter().filter(|vm| vm.kind == VmKind::Daemon);
+        let listed: BTreeSet<&str> = daemons.map(|vm| &*vm.name).collect();
+        let own_version = self.membership.local_record().config_version;
+        self.alarm_conditions
+            .observe_members(members, own_version, &listed, now);
+        let is_draining = self.parts.shared.phase() == Phase::Draining;
+        self.alarm_conditions.observe_drain(is_draining, now);
+    }
+
     fn handle_datagram(&mut self, now: Duration, from: SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::LoadReport(load_report) => {
--- a/crates/corianderworks/src/lib.rs
+++ b/crates/corianderworks/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod reasons;
+pub mod recent_refusals;
 pub mod refusal;
 pub mod relay;
 pub mod run_commands;
--- a/crates/corianderworks/src/proxy.rs
+++ b/crates/corianderworks/src/proxy.rs
@@ -30,6 +30,7 @@
 use crate::metrics_api::{self, RemoteTime};
 use crate::peer::Peers;
 use crate::reasons::{Reason, RefusalOutcome};
+use crate::recent_refusals::RecentRefusals;
 use crate::refusal::Refusal;
 use crate::relay::{self, RelayError};
 use crate::target;
@@ -94,6 +95,8 @@
     next_request: AtomicU64,
     in_flight: AtomicUsize,
     loads: Mutex<HashMap<(DaemonKey, ServiceKey), HomeLoad>>,
+    /// Refusals that operators are alerted to.
+    pub recent_refusals: RecentRefusals,
 }
 
 /// Guard that counts a request as in flight until it is dropped.
@@ -129,6 +132,7 @@
             next_request: AtomicU64::new(1),
             in_flight: AtomicUsize::new(0),
             loads: Mutex::default(),
+            recent_refusals: RecentRefusals::default(),
         }
     }
 
@@ -157,8 +161,14 @@
             Ok((mut job, concurrency_guard)) => {
                 let (body, upload) = TrackedBody::new(job.body);
                 job.body = body.boxed_unsync();
+                let service = job.head.service.clone();
                 let reply = self.run_keyed(job).await;
-                let reply = reply.map_err(|refusal| prefer_upload_error(refusal, &upload));
+                let reply = reply.map_err(|refusal| {
+                    let refusal = prefer_upload_error(refusal, &upload);
+                    self.recent_refusals
+                        .record(refusal.reason, &service, &*self.parts.clock);
+                    refusal
+                });
                 reply.map(|reply| (reply, concurrency_guard))
             }
             Err(refusal) => Err(refusal),
--- a/crates/corianderworks/src/status_api.rs
+++ b/crates/corianderworks/src/status_api.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use corianderworks_decision::alarm_conditions::VmDifference;
 use corianderworks_decision::clock::Clock;
 use corianderworks_decision::dispatcher::{Dispatcher, Schedule, Standing, UpstreamReport};
 use corianderworks_decision::drain::Phase;
@@ -15,7 +16,7 @@
 use kameo::actor::ActorRef;
 
 use crate::alarms::AlarmKind;
-use crate::control::{Control, ListMembers, SharedState};
+use crate::control::{Control, LastingConditions, ListAlarmConditions, ListMembers, SharedState};
 use crate::platform::PlatformClient;
 use crate::proxy::EntryProxy;
 use crate::reasons::Reason;
@@ -54,6 +55,10 @@
     /// answer.
     pub async fn status(&self) -> Status {
         let members = self.control.ask(ListMembers).await.unwrap_or_default();
+        let conditions = self.control.ask(ListAlarmConditions).await;
+        let conditions = conditions.unwrap_or_default();
+        let clock = &*self.entry.parts.clock;
+        let refusals = self.entry.recent_refusals.recent(clock);
         let view = self.shared.view.load_full();
         let phase = self.shared.phase();
         let (reachable, last_success) = self.platform.reachability();
@@ -81,7 +86,7 @@
             services,
             alarms: Vec::new(),
         };
-        status.alarms = alarms(&status);
+        status.alarms = alarms(&status, &conditions, &refusals);
         status
     }
 
@@ -262,7 +267,11 @@
     Some(format!("{evidence}for {since} s{permit}"))
 }
 
-fn alarms(status: &Status) -> Vec<Alarm> {
+fn alarms(
+    status: &Status,
+    conditions: &LastingConditions,
+    refusals: &[(Arc<str>, Reason)],
+) -> Vec<Alarm> {
     let mut alarms = Vec::new();
     let mut raise = |kind: AlarmKind, text: String| {
         alarms.push(Alarm {
@@ -313,6 +322,30 @@
             raise(AlarmKind::DomainLost, domain);
         }
     }
+    for member in &conditions.lagging_members {
+        raise(AlarmKind::ConfigurationLag, member.to_string());
+    }
+    for (difference, member) in &conditions.vm_differences {
+        let what = match difference {
+            VmDifference::NotListed => "answers, but is not in the VM list",
+            VmDifference::NoAnswer => "is in the VM list, but does not answer",
+        };
+        raise(AlarmKind::VmListDiffers, format!("{member} {what}"));
+    }
+    if let Some((length, since)) = conditions.pause {
+        let text = format!("for {} ms, {} s ago", length.as_millis(), since.as_secs());
+        raise(AlarmKind::Paused, text);
+    }
+    if let Some(waited) = conditions.slow_drain {
+        raise(AlarmKind::DrainSlow, format!("for {} s", waited.as_secs()));
+    }
+    for (service, reason) in refusals {
+        let kind = match reason {
+            Reason::ClaimBudget => AlarmKind::ClaimsRefused,
+            _ => AlarmKind::Overload,
+        };
+        raise(kind, format!("{service}: {}", reason.name()));
+    }
     alarms
 }
 
--- a/crates/corianderworks_decision/src/lib.rs
+++ b/crates/corianderworks_decision/src/lib.rs
@@ -4,6 +4,7 @@
 //! The daemon, the experiments and the tests drive the same state machines.
 
 pub mod addresses;
+pub mod alarm_conditions;
 pub mod assessment;
 pub mod baseline;
 pub mod claims;
