Edge metrics: load, retry budget, age of configuration and server list, process, lost log lines

Cause: from the metrics nobody could tell how full a service or server was, how current the configuration and the list of servers were, how much of the retry budget was left, or what the process used. Omitted and dropped log lines showed only in later lines, the dropped ones only when the process stopped.

Change: gauges by service (in flight, slots, unused share of the retry budget), for the 20 servers with the most requests, and for the state named above. Each kind of object keeps the time at which this daemon or another one read it from the store.

--- a/crates/corianderworks/tests/crowd/backend.rs
+++ b/crates/corianderworks/tests/crowd/backend.rs
@@ -13,10 +13,17 @@
 
 /// Starts a server. The path `/read/1000-x` gives a response with a body of 1,000 bytes.
 pub async fn start() -> SocketAddr {
+    start_with_nodelay(false).await
+}
+
+/// Same; `nodelay` tells whether small responses are sent at once, although the daemon has not yet
+/// acknowledged their heads.
+pub async fn start_with_nodelay(nodelay: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(nodelay).expect("a socket option");
             tokio::spawn(serve(stream));
         }
     });
--- a/crates/corianderworks/tests/crowd/daemon.rs
+++ b/crates/corianderworks/tests/crowd/daemon.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use crate::edge_process;
@@ -12,6 +12,7 @@
 const READY_PORT: u16 = 8_081;
 const DIRECTORY_PORT: u16 = 8_083;
 const PEERS_PORT: u16 = 7_620;
+const METRICS_PORT: u16 = 9_464;
 /// Time limit for a process to become ready on a busy machine.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -25,6 +26,7 @@
 pub struct Daemon {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    metrics: SocketAddr,
     directory: PathBuf,
     process: Child,
 }
@@ -32,6 +34,16 @@
 impl Daemon {
     /// Starts a daemon on the loopback address 127.0.8.`number` and waits until it is ready.
     pub async fn start(number: u8, store: SocketAddr) -> Self {
+        Self::start_with_output(number, store, None, None).await
+    }
+
+    /// Same with a log filter, and with another output for the log than a file.
+    pub async fn start_with_output(
+        number: u8,
+        store: SocketAddr,
+        log_filter: Option<&str>,
+        output: Option<Stdio>,
+    ) -> Self {
         let name = format!("corianderworks-crowd-{}-{number}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).expect("a directory");
@@ -52,11 +64,18 @@
         std::fs::write(&settings, text).expect("settings are written");
         let log_file =
             |kind: &str| Stdio::from(File::create(directory.join(kind)).expect("a log file"));
-        let process = edge_process::start(&settings, log_file("out"), log_file("err"));
+        let mut command = edge_process::command(&settings);
+        if let Some(filter) = log_filter {
+            command.env("RUST_LOG", filter);
+        }
+        let output = output.unwrap_or_else(|| log_file("out"));
+        let process = command.stdout(output).stderr(log_file("err")).spawn();
+        let process = process.expect("a process");
         let address = |port| format!("{ip}:{port}").parse().expect("an address");
         let daemon = Self {
             callers: address(CALLERS_PORT),
             ready: address(READY_PORT),
+            metrics: address(METRICS_PORT),
             directory,
             process,
         };
@@ -83,6 +102,32 @@
         response.is_some_and(|r| r.starts_with("HTTP/1.1 200"))
     }
 
+    /// Returns a value of the metric `corianderworks_edge_state`.
+    pub async fn state_metric(&self, name: &str) -> Option<u64> {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let response = crate::callers::exchange(self.metrics, request).await?;
+        let prefix = format!("corianderworks_edge_state{{name=\"{name}\"}} ");
+        let value = response.lines().find_map(|l| l.strip_prefix(&*prefix))?;
+        value.parse().ok()
+    }
+
+    /// Takes the reading end of the process's log, if its output is a pipe.
+    pub fn take_output(&mut self) -> Option<ChildStdout> {
+        self.process.stdout.take()
+    }
+
+    /// Asks the process to stop, and returns the time until it ended.
+    pub async fn stop(&mut self) -> Duration {
+        let started = Instant::now();
+        let pid = self.process.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(sent.is_ok_and(|s| s.success()), "a signal is sent");
+        while self.is_alive() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        started.elapsed()
+    }
+
     /// Whether the process has not ended.
     pub fn is_alive(&mut self) -> bool {
         matches!(self.process.try_wait(), Ok(None))
--- a/crates/corianderworks/tests/crowd/main.rs
+++ b/crates/corianderworks/tests/crowd/main.rs
@@ -7,8 +7,10 @@
 
 mod backend;
 mod callers;
+#[allow(dead_code, reason = "shared with the tests of the log")]
 mod daemon;
 #[path = "../support/edge_process.rs"]
+#[allow(dead_code, reason = "shared with other tests of processes")]
 mod edge_process;
 #[path = "../../../corianderworks_edge/tests/support/store.rs"]
 #[allow(dead_code, reason = "shared with the tests of the edge daemon")]
--- a/crates/corianderworks/tests/support/edge_process.rs
+++ b/crates/corianderworks/tests/support/edge_process.rs
@@ -9,12 +9,19 @@
     O: Into<Stdio>,
     E: Into<Stdio>,
 {
-    Command::new(env!("CARGO_BIN_EXE_corianderworks"))
-        .arg("edge")
-        .env("CORIANDERWORKS_BOOT", settings)
-        .stdin(Stdio::null())
+    command(settings)
         .stdout(stdout)
         .stderr(stderr)
         .spawn()
         .expect("a process")
 }
+
+/// Returns the command that starts an edge daemon with a settings file.
+pub fn command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_corianderworks"));
+    command
+        .arg("edge")
+        .env("CORIANDERWORKS_BOOT", settings)
+        .stdin(Stdio::null());
+    command
+}
--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -726,6 +726,16 @@
         })
     }
 
+    /// Returns the `count` servers at which all daemons have the most requests in flight, and their
+    /// number, the highest first. Servers without requests are left out.
+    pub fn busiest(&self, count: usize) -> Vec<(ServerKey, u32)> {
+        let in_flight = self.states.iter().map(|(key, s)| (key, s.in_flight()));
+        let mut busiest: Vec<_> = in_flight.filter(|(_, count)| *count > 0).collect();
+        busiest.sort_by_key(|(key, in_flight)| (std::cmp::Reverse(*in_flight), *key));
+        busiest.truncate(count);
+        busiest
+    }
+
     /// Returns the load of a service's servers by domain.
     pub fn domain_loads(&self, servers: &Servers, service: &str, now: Duration) -> Vec<DomainLoad> {
         let default_state = ServerState::default();
--- a/crates/corianderworks_edge/src/belief_log.rs
+++ b/crates/corianderworks_edge/src/belief_log.rs
@@ -48,6 +48,11 @@
         self.suspicions.remove_server(key);
     }
 
+    /// Returns the number of lines omitted since the start.
+    pub(crate) fn omitted_total(&self) -> u64 {
+        self.line_limit.omitted_total()
+    }
+
     fn log(&self, server: &Server, change: &BeliefChange, now: Duration) {
         let Some(omitted) = self.line_limit.try_acquire(now) else {
             return;
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -71,6 +71,8 @@
     let settings = settings::read(&path)?;
     let clock = Arc::new(SystemClock::new());
     let edge = Arc::new(Edge::new(settings.clone(), clock, Metrics::new()?));
+    // Set once, right after the daemon was created.
+    edge.dropped_lines.set(dropped_lines.clone()).ok();
     tracing::info!(vm = settings.vm, domain = settings.domain, callers = %settings.callers, store = %settings.store, "daemon: starting");
     let caller_socket = bind_socket(settings.callers)?;
     let ready_listener = listen(settings.ready).await?;
--- a/crates/corianderworks_edge/src/logs.rs
+++ b/crates/corianderworks_edge/src/logs.rs
@@ -53,7 +53,10 @@
 pub struct LineRateLimiter {
     current_second: AtomicU64,
     line_count: AtomicU64,
+    /// Lines omitted since the last one written.
     omitted: AtomicU64,
+    /// Lines omitted since the start.
+    omitted_total: AtomicU64,
 }
 
 impl LineRateLimiter {
@@ -68,6 +71,12 @@
             return Some(self.omitted.swap(0, Ordering::Relaxed));
         }
         self.omitted.fetch_add(1, Ordering::Relaxed);
+        self.omitted_total.fetch_add(1, Ordering::Relaxed);
         None
     }
+
+    /// Returns the number of lines omitted since the start.
+    pub fn omitted_total(&self) -> u64 {
+        self.omitted_total.load(Ordering::Relaxed)
+    }
 }
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -25,6 +25,34 @@
     KeyValue::new("priority", i64::from(priority.min(PRIORITY_LABEL_MAX)))
 }
 
+/// Creates and registers a gauge of which all series can be removed.
+fn resettable_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, MetricsError> {
+    let gauge =
+        IntGaugeVec::new(Opts::new(name, help), labels).map_err(|e| MetricsError(e.to_string()))?;
+    registry
+        .register(Box::new(gauge.clone()))
+        .map_err(|e| MetricsError(e.to_string()))?;
+    Ok(gauge)
+}
+
+/// Load of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Id of the server.
+    pub server: Arc<str>,
+    /// Name of the service that it runs.
+    pub service: Arc<str>,
+    /// Requests that all daemons have in flight there.
+    pub in_flight: u32,
+    /// Requests that it processes at the same time; the others wait in its queue.
+    pub slots: u32,
+}
+
 /// Error while setting up or exporting metrics, with the text of its cause.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot set up metrics: {0}")]
@@ -44,6 +72,9 @@
     state: Gauge<u64>,
     servers: Gauge<u64>,
     quota_refused: IntGaugeVec,
+    server_load: IntGaugeVec,
+    service_load: Gauge<u64>,
+    retry_budget_left: Gauge<f64>,
     queue_length: Gauge<u64>,
     queue_time: Histogram<f64>,
     refusals: Counter<u64>,
@@ -70,17 +101,18 @@
             .map_err(|e| MetricsError(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("corianderworks");
-        let quota_refused = IntGaugeVec::new(
-            Opts::new(
-                "corianderworks_edge_quota_refused",
-                "Requests refused by the quota since the start, by organisation",
-            ),
+        let quota_refused = resettable_gauge(
+            &registry,
+            "corianderworks_edge_quota_refused",
+            "Requests refused by the quota since the start, by organisation",
             &["organisation"],
-        )
-        .map_err(|e| MetricsError(e.to_string()))?;
-        registry
-            .register(Box::new(quota_refused.clone()))
-            .map_err(|e| MetricsError(e.to_string()))?;
+        )?;
+        let server_load = resettable_gauge(
+            &registry,
+            "corianderworks_edge_server_load",
+            "Requests in flight and slots of the servers with the most requests",
+            &["server", "service", "what"],
+        )?;
         let bounds = LATENCY_BOUNDS_S.to_vec();
         Ok(Self {
             requests: meter.u64_counter("corianderworks_edge_requests").build(),
@@ -99,6 +131,11 @@
             state: meter.u64_gauge("corianderworks_edge_state").build(),
             servers: meter.u64_gauge("corianderworks_edge_servers").build(),
             quota_refused,
+            server_load,
+            service_load: meter.u64_gauge("corianderworks_edge_service_load").build(),
+            retry_budget_left: meter
+                .f64_gauge("corianderworks_edge_retry_budget_left")
+                .build(),
             queue_length: meter.u64_gauge("corianderworks_edge_queue_length").build(),
             queue_time: meter
                 .f64_histogram("corianderworks_edge_queue_time")
@@ -201,6 +238,37 @@
         }
     }
 
+    /// Sets the gauges of the servers in `loads`. Those of servers that are no longer listed are
+    /// removed.
+    pub fn set_server_loads(&self, loads: &[ServerLoad]) {
+        self.server_load.reset();
+        for load in loads {
+            for (what, value) in [("in-flight", load.in_flight), ("slots", load.slots)] {
+                let labels = [&*load.server, &*load.service, what];
+                let gauge = self.server_load.with_label_values(&labels);
+                gauge.set(i64::from(value));
+            }
+        }
+    }
+
+    /// Sets the gauges of the requests in flight at the servers of a service that accept requests,
+    /// and of their slots.
+    pub fn set_service_load(&self, service: &Arc<str>, in_flight: u32, slots: u32) {
+        for (what, value) in [("in-flight", in_flight), ("slots", slots)] {
+            let labels = [
+                KeyValue::new("service", service.clone()),
+                KeyValue::new("what", what),
+            ];
+            self.service_load.record(u64::from(value), &labels);
+        }
+    }
+
+    /// Sets the gauge of the unused share of a service's retry budget.
+    pub fn set_retry_budget_left(&self, service: &Arc<str>, share: f64) {
+        let labels = [KeyValue::new("service", service.clone())];
+        self.retry_budget_left.record(share, &labels);
+    }
+
     /// Counts an attempt at a backend server of another failure domain. There is one series for each
     /// service and domain with servers of it, since a daemon is in one domain.
     pub fn crossed(&self, service: &Arc<str>, from: &str, to: &Arc<str>) {
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -177,6 +177,12 @@
 
     fn record_store_view(&mut self, view: StoreView, now: Duration) {
         self.servers.store_responded(now);
+        if view.servers_digest.is_some() {
+            self.store_reads.servers = Some(now);
+        }
+        if view.configuration.is_some() {
+            self.store_reads.configuration = Some(now);
+        }
         self.reported_store_view.record(view, now);
     }
 }
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -35,8 +35,8 @@
 
 use crate::account::{Account, MemoryGuard, MemoryKind};
 use crate::belief_log::BeliefLog;
-use crate::logs::LineRateLimiter;
-use crate::metrics::{Metrics, MetricsError};
+use crate::logs::{DroppedLines, LineRateLimiter};
+use crate::metrics::Metrics;
 use crate::upstream::{ConnectionPool, Target};
 use crate::waiting::WaitingRequests;
 
@@ -48,8 +48,6 @@
 /// Time after which the daemons that introduced themselves count as the whole fleet if the store
 /// can't be read. Longer than a weak VM takes to connect to the relays of its domain.
 const REGISTERED_MEMBERS_TIMEOUT: Duration = Duration::from_secs(5);
-/// Number of organisations with a metric of their own, so that the number of metrics is bounded.
-const ORGANISATION_METRICS_MAX: usize = 20;
 
 /// Mutable state of a daemon, protected by one lock.
 #[derive(Debug)]
@@ -80,6 +78,10 @@
     pub pending_report: PendingReport,
     /// Latest store view that other daemons reported.
     pub reported_store_view: ReportedStoreView,
+    /// When this daemon or another one last read each kind of object from the store.
+    pub store_reads: StoreReads,
+    /// Time since which the current configuration is in force.
+    pub configuration_since: Duration,
     /// Current configuration, encoded as in the store.
     pub configuration_bytes: Option<Bytes>,
     /// Permission to use the keys of the configuration.
@@ -186,6 +188,16 @@
     }
 }
 
+/// When this daemon, or another one that told it, last read each kind of object from the store;
+/// `None` if nobody did since the start.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreReads {
+    /// List of the backend servers.
+    pub servers: Option<Duration>,
+    /// Configuration.
+    pub configuration: Option<Duration>,
+}
+
 /// Store view that other daemons reported. Each part has its own time of arrival, because a watcher
 /// may be able to read only one kind of object.
 #[derive(Debug, Clone, Copy, Default)]
@@ -272,6 +284,8 @@
     in_flight: AtomicUsize,
     /// Memory and descriptors that connections hold.
     pub account: Arc<Account>,
+    /// Counter of log lines that standard output didn't take; unset if the process logs elsewhere.
+    pub dropped_lines: OnceLock<DroppedLines>,
 }
 
 impl Edge {
@@ -301,6 +315,8 @@
             peer_load: PeerLoad::default(),
             pending_report: PendingReport::default(),
             reported_store_view: ReportedStoreView::default(),
+            store_reads: StoreReads::default(),
+            configuration_since: Duration::ZERO,
             configuration_bytes: None,
             key_permission: KeyPermission::new(settings.key_revocation, rand::rng().random()),
             started_at: clock.now(),
@@ -323,6 +339,7 @@
             state: Mutex::new(state),
             in_flight: AtomicUsize::new(0),
             account,
+            dropped_lines: OnceLock::new(),
         }
     }
 
@@ -428,6 +445,7 @@
             .key_permission
             .set_configuration(id, uses_keys, self.clock.since_boot());
         state.configuration_bytes = bytes;
+        state.configuration_since = self.clock.now();
         let EdgeState {
             configuration,
             load_balancer,
@@ -756,35 +774,6 @@
         RequestGuard { edge: self.clone() }
     }
 
-    /// Returns all metrics in the Prometheus text format.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a metric can't be encoded.
-    pub fn metrics_text(&self) -> Result<String, MetricsError> {
-        let now = self.clock.now();
-        let state = self.lock_state();
-        for service in state.servers.services() {
-            let server_use = state.load_balancer.server_use(&state.servers, service, now);
-            self.metrics.set_server_use(service, server_use);
-            let share = state.domains.share(service);
-            self.metrics.set_leaving_share(service, share);
-        }
-        let left = state.key_permission.remaining(self.clock.since_boot());
-        // A gauge keeps its last value, so it is also set while the configuration has no keys.
-        if let Some(left) = left.or(self.settings.key_revocation) {
-            let left_ms = left.as_millis() as u64;
-            self.metrics
-                .set_gauge("key_permission_remaining_ms", left_ms);
-        }
-        let (most_refused, others) = state.quotas.most_refused(ORGANISATION_METRICS_MAX);
-        self.metrics.set_queue_lengths(&state.waiting.lengths());
-        drop(state);
-        self.metrics.set_quota_refused(&most_refused, others);
-        self.account.record_metrics();
-        self.metrics.prometheus_text()
-    }
-
     /// Returns the number of requests of callers that are in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -370,7 +370,13 @@
             tracing::info!(kind = self.object_kind.as_str(), "store: reached");
         }
         let now = self.edge.clock.now();
-        self.edge.lock_state().servers.store_responded(now);
+        let mut state = self.edge.lock_state();
+        state.servers.store_responded(now);
+        let read_at = match self.object_kind {
+            ObjectKind::Configuration => &mut state.store_reads.configuration,
+            ObjectKind::Servers => &mut state.store_reads.servers,
+        };
+        *read_at = Some(now);
     }
 
     async fn handle_failure(&mut self, error: &StoreError) {
