Commands check-settings, check-deploy and completion; a page of the commands

Cause: whether the platform would accept the deploy file, or a daemon its settings, showed only when it started them.

Change: `check-settings FILE` prints what a daemon reads, `check-deploy FOLDER` names each problem, both with exit code 2 for a wrong file and `--json`. `completion bash|zsh` is made from the help texts, as is docs/operators/commands.md, which a test compares. Help texts have examples and the exit codes.

--- a/crates/corianderworks/src/cli.rs
+++ b/crates/corianderworks/src/cli.rs
@@ -19,8 +19,14 @@
 
 xflags::xflags! {
     /// Proxy fleet for backend servers with gray failures.
+    ///
+    /// Exit codes: 0 success; 1 the command failed, or a measured guarantee was violated; 2 invalid
+    /// command line, lists or settings; 3 another change was committed first; 4 the platform or the
+    /// daemon cannot be reached; 5 the result of a change is unknown.
     cmd corianderworks {
         /// Run a daemon.
+        ///
+        /// For example: corianderworks daemon --settings samples/local/daemon-1.json
         cmd daemon {
             /// Settings of the daemon.
             required --settings file: PathBuf
@@ -29,6 +35,35 @@
         /// Run an edge daemon on the users' platform, with the settings provided by the platform.
         cmd edge {}
 
+        /// Check a settings file of an edge daemon, and show what the daemon reads from it.
+        ///
+        /// For example: corianderworks check-settings /etc/corianderworks/node.toml
+        cmd check-settings {
+            /// Settings file, in TOML.
+            required file: PathBuf
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Check the file from which the platform builds and starts edge daemons. Build before, since
+        /// it checks that the program exists.
+        ///
+        /// For example: corianderworks check-deploy deploy
+        cmd check-deploy {
+            /// Folder that contains system.toml; programs start in the folder around it.
+            required folder: PathBuf
+            /// Print JSON.
+            optional --json
+        }
+
+        /// Print a script that completes commands and options in a shell.
+        ///
+        /// For example: source <(corianderworks completion bash)
+        cmd completion {
+            /// Shell: bash or zsh.
+            required shell: String
+        }
+
         /// Check, read and change the two lists.
         cmd lists {
             /// Check the lists in a folder without contacting the platform.
@@ -68,6 +103,9 @@
             }
 
             /// Put the lists in a folder in force.
+            ///
+            /// For example: corianderworks lists apply lists --platform 10.0.0.2:8080 --who ana
+            /// --reason "new member"
             cmd apply {
                 /// Folder that contains customers.json, plans.json and base-version.
                 required folder: PathBuf
@@ -97,6 +135,8 @@
         }
 
         /// Show the state of a daemon and its view of the fleet.
+        ///
+        /// For example: corianderworks status --daemon 10.0.0.5:8080
         cmd status {
             /// HTTP address of the daemon.
             required --daemon address: SocketAddr
@@ -105,6 +145,9 @@
         }
 
         /// Show whether a daemon would admit a request, and why.
+        ///
+        /// For example: corianderworks explain --daemon 10.0.0.5:8080 --customer north-hospital
+        /// --path /stock
         cmd explain {
             /// HTTP address of the daemon.
             required --daemon address: SocketAddr
@@ -131,6 +174,8 @@
         }
 
         /// Show who changed what, when and why.
+        ///
+        /// For example: corianderworks audit --platform 10.0.0.2:8080 --who ana
         cmd audit {
             /// Address of the platform.
             required --platform address: SocketAddr
@@ -164,6 +209,8 @@
         }
 
         /// Generate load and report the outcomes of the requests.
+        ///
+        /// For example: corianderworks load --settings samples/local/load.json --plot latencies.svg
         cmd load {
             /// Settings as JSON with comments: daemons, routes, phases.
             required --settings file: PathBuf
--- a/crates/corianderworks/src/commands.rs
+++ b/crates/corianderworks/src/commands.rs
@@ -11,8 +11,8 @@
 use crate::list_store::StoreError;
 use crate::platform::PlatformError;
 use crate::{
-    capacity, compare, demo, keys_commands, lists_commands, measure_commands, run_commands,
-    status_commands, trace,
+    capacity, check_commands, compare, completion, demo, keys_commands, lists_commands,
+    measure_commands, run_commands, status_commands, trace,
 };
 
 /// Error of a command. Its variant determines the exit code.
@@ -91,6 +91,9 @@
         CorianderworksCmd::Keys(keys) => match keys.subcommand {
             KeysCmd::New(new) => keys_commands::new(&new),
         },
+        CorianderworksCmd::CheckSettings(flags) => check_commands::check_settings(&flags),
+        CorianderworksCmd::CheckDeploy(flags) => check_commands::check_deploy(&flags),
+        CorianderworksCmd::Completion(flags) => completion::run(&flags),
         CorianderworksCmd::Edge(_) => run_commands::edge().await,
         CorianderworksCmd::Daemon(flags) => run_commands::daemon(&flags).await,
         CorianderworksCmd::StandIn(stand_in) => match stand_in.subcommand {
--- a/crates/corianderworks_edge/src/daemon.rs
+++ b/crates/corianderworks_edge/src/daemon.rs
@@ -21,6 +21,11 @@
 
 /// Port of the metrics endpoint; must match the deploy file.
 const METRICS_PORT: u16 = 9464;
+/// Returns the port and path of the metrics, as in the deploy file.
+pub fn metrics_endpoint() -> String {
+    format!("{METRICS_PORT}{}", local_http::METRICS_PATH)
+}
+
 /// Interval between removals of expired servers and idle connections.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a stopping daemon checks whether it can exit.
--- a/crates/corianderworks_edge/src/local_http.rs
+++ b/crates/corianderworks_edge/src/local_http.rs
@@ -24,7 +24,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-const METRICS_PATH: &str = "/metrics";
+/// Path of the metrics; must match the deploy file.
+pub(crate) const METRICS_PATH: &str = "/metrics";
 
 /// Serves readiness, addresses and metrics on a listener; never returns. The connections of a listener
 /// for callers are limited together with those of their requests.
