--- a/crates/corianderworks_edge/src/local_http.rs
+++ b/crates/corianderworks_edge/src/local_http.rs
@@ -51,8 +51,8 @@
         tokio::spawn(async move {
             let _descriptor = descriptor;
             let service = service_fn(|request| {
-                let response = respond(&edge, &request);
-                async move { Ok::<_, Infallible>(response) }
+                let edge = edge.clone();
+                async move { Ok::<_, Infallible>(respond(&edge, &request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -65,7 +65,7 @@
     }
 }
 
-fn respond(edge: &Edge, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(edge: &Arc<Edge>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     match request.uri().path() {
         addresses::READY_PATH if edge.is_ready() => {
             response(StatusCode::OK, "text/plain", Bytes::new())
@@ -74,25 +74,30 @@
             response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new())
         }
         addresses::RESOLVE_PATH => resolve(edge, request.uri().query().unwrap_or_default()),
-        METRICS_PATH => match edge.metrics_text() {
-            Ok(prometheus_text) => response(
-                StatusCode::OK,
-                "text/plain; version=0.0.4",
-                prometheus_text.into(),
-            ),
-            Err(error) => {
-                tracing::error!(%error, "local http: cannot encode metrics");
-                response(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    "text/plain",
-                    Bytes::new(),
-                )
-            }
-        },
+        METRICS_PATH => metrics(edge).await,
         _ => response(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
     }
 }
 
+/// Encodes the metrics on a thread of its own: thousands of series take longer than a request may
+/// wait.
+async fn metrics(edge: &Arc<Edge>) -> Response<Full<Bytes>> {
+    edge.record_state_metrics();
+    let metrics = edge.metrics.clone();
+    let encoded = tokio::task::spawn_blocking(move || metrics.prometheus_text()).await;
+    let error = match encoded {
+        Ok(Ok(text)) => return response(StatusCode::OK, "text/plain; version=0.0.4", text.into()),
+        Ok(Err(error)) => error.to_string(),
+        Err(error) => error.to_string(),
+    };
+    tracing::error!(error, "local http: cannot encode metrics");
+    response(
+        StatusCode::INTERNAL_SERVER_ERROR,
+        "text/plain",
+        Bytes::new(),
+    )
+}
+
 fn resolve(edge: &Edge, query: &str) -> Response<Full<Bytes>> {
     let request = addresses::decode_request(query);
     let daemons: Vec<SocketAddr> = edge.addresses_for(&request.domain);
--- a/crates/corianderworks_edge/src/state_metrics.rs
+++ b/crates/corianderworks_edge/src/state_metrics.rs
@@ -20,6 +20,12 @@
     ///
     /// Fails if a metric can't be encoded.
     pub fn metrics_text(&self) -> Result<String, MetricsError> {
+        self.record_state_metrics();
+        self.metrics.prometheus_text()
+    }
+
+    /// Sets the gauges of the state of the daemon.
+    pub(crate) fn record_state_metrics(&self) {
         let now = self.clock.now();
         let mut state = self.lock_state();
         self.record_services(&mut state, now);
@@ -43,7 +49,6 @@
             self.metrics
                 .set_gauge("open_descriptors", stats.open_descriptors);
         }
-        self.metrics.prometheus_text()
     }
 
     fn set_ms(&self, name: &'static str, time: Duration) {
--- a/crates/corianderworks_edge/tests/metrics.rs
+++ b/crates/corianderworks_edge/tests/metrics.rs
@@ -10,7 +10,7 @@
 };
 use corianderworks_decision::edge::servers::ServerEntry;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{Action, Backend, Daemon, server_entry};
 
 /// Size to design for.
@@ -141,3 +141,26 @@
     println!("{} and {} series", few.len(), many.len());
     assert_eq!(few.len(), many.len());
 }
+
+/// Measures the time to read the metrics, and their size:
+/// `cargo test --release -p corianderworks_edge --test metrics -- --ignored --nocapture`.
+#[tokio::test]
+#[ignore = "a measurement"]
+async fn cost_of_reading_the_metrics() {
+    const READS: u32 = 200;
+    let daemon = loaded_daemon(SERVERS, ROUTES).await;
+    for _ in 0..3 {
+        let started = Instant::now();
+        let mut bytes = 0;
+        for _ in 0..READS {
+            bytes = daemon.edge.metrics_text().unwrap().len();
+        }
+        let took = started.elapsed() / READS;
+        let started = Instant::now();
+        for _ in 0..READS {
+            daemon.edge.metrics.prometheus_text().unwrap();
+        }
+        let encoding = started.elapsed() / READS;
+        println!("{took:?} and {bytes} bytes a read, {encoding:?} of it to encode the series");
+    }
+}
