--- a/crates/corianderworks/tests/crowd/callers.rs
+++ b/crates/corianderworks/tests/crowd/callers.rs
@@ -70,21 +70,29 @@
     }
 }
 
+/// Sends a small request on a connection and returns the response, or `None` if the daemon closes the
+/// connection before.
+pub async fn ask(stream: &mut TcpStream, id: &str) -> Option<Vec<u8>> {
+    let sent = stream.write_all(get(2, id).as_bytes()).await;
+    sent.expect("a request is sent");
+    let mut received = Vec::new();
+    while !received.ends_with(b"\r\n\r\nxx") {
+        let count = stream.read_buf(&mut received).await.expect("a response");
+        if count == 0 {
+            return None;
+        }
+    }
+    Some(received)
+}
+
 /// Sends small requests one after the other on a connection, and returns how many were answered.
 pub async fn ask_repeatedly(address: SocketAddr, caller: usize, requests: usize) -> usize {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let mut answered = 0;
-    let mut received = Vec::new();
     for request in 0..requests {
-        let request = get(2, &format!("c{caller}-{request}"));
-        let sent = stream.write_all(request.as_bytes()).await;
-        sent.expect("a request is sent");
-        received.clear();
-        while !received.ends_with(b"\r\n\r\nxx") {
-            let count = stream.read_buf(&mut received).await.expect("a response");
-            assert!(count > 0, "closed after {answered} responses");
-        }
-        answered += usize::from(received.starts_with(b"HTTP/1.1 200"));
+        let response = ask(&mut stream, &format!("c{caller}-{request}")).await;
+        let response = response.unwrap_or_else(|| panic!("closed after {answered} responses"));
+        answered += usize::from(response.starts_with(b"HTTP/1.1 200"));
     }
     answered
 }
--- a/crates/corianderworks/tests/crowd/daemon.rs
+++ b/crates/corianderworks/tests/crowd/daemon.rs
@@ -6,6 +6,8 @@
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use serde_json::{Value, json};
+
 use crate::edge_process;
 
 const CALLERS_PORT: u16 = 8_080;
@@ -22,6 +24,20 @@
 /// Descriptors that the VM has for the daemon.
 pub const FILE_DESCRIPTORS: usize = 400;
 
+/// Returns the configuration of the store. Its limits are longer than a crowd is observed, so that no
+/// timeout ends the crowd.
+pub fn configuration() -> Value {
+    json!({
+        "version": "r1",
+        "services": [{"name": "ledger", "healthCheckPath": "/health", "maxConnections": 4000}],
+        "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 8_000_000, "headerTimeoutMs": 30_000,
+                   "idleTimeoutMs": 30_000},
+        "hosts": [{"host": "shop.example", "paths": [
+            {"name": "read", "pathPrefix": "/read/", "kind": "idempotent", "timeoutMs": 10_000,
+             "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "service": "ledger"}]}],
+    })
+}
+
 /// Daemon process, which is killed when it is dropped.
 pub struct Daemon {
     pub callers: SocketAddr,
--- a/crates/corianderworks/tests/crowd/main.rs
+++ b/crates/corianderworks/tests/crowd/main.rs
@@ -41,19 +41,6 @@
 /// More connections than the VM has descriptors.
 const CONNECTIONS: usize = FILE_DESCRIPTORS + 100;
 
-/// The limits are longer than [`OBSERVED`], so that no timeout ends the crowd.
-fn configuration() -> Value {
-    json!({
-        "version": "r1",
-        "services": [{"name": "ledger", "healthCheckPath": "/health", "maxConnections": 4000}],
-        "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 8_000_000, "headerTimeoutMs": 30_000,
-                   "idleTimeoutMs": 30_000},
-        "hosts": [{"host": "shop.example", "paths": [
-            {"name": "read", "pathPrefix": "/read/", "kind": "idempotent", "timeoutMs": 10_000,
-             "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "service": "ledger"}]}],
-    })
-}
-
 async fn start(number: u8) -> Daemon {
     let store = Store::start().await;
     for server in 0..2 {
@@ -67,7 +54,7 @@
             entry_status("ready"),
         );
     }
-    store.put("config", "main", configuration(), Value::Null);
+    store.put("config", "main", daemon::configuration(), Value::Null);
     Daemon::start(number, store.address).await
 }
 
--- a/crates/corianderworks/tests/log_output/main.rs
+++ b/crates/corianderworks/tests/log_output/main.rs
@@ -26,7 +26,6 @@
 use daemon::Daemon;
 use serde_json::{Value, json};
 use store::{Store, entry_spec, entry_status};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, timeout};
@@ -44,25 +43,13 @@
 /// Ten times the mean rate of a daemon at the size to design for: 93,000 requests/s at 430 daemons.
 const PEAK_RATE_PER_S: u64 = 2_160;
 
-fn configuration() -> Value {
-    json!({
-        "version": "r1",
-        "services": [{"name": "ledger", "healthCheckPath": "/health", "maxConnections": 4000}],
-        "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 8_000_000, "headerTimeoutMs": 30_000,
-                   "idleTimeoutMs": 30_000},
-        "hosts": [{"host": "shop.example", "paths": [
-            {"name": "read", "pathPrefix": "/read/", "kind": "idempotent", "timeoutMs": 10_000,
-             "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "service": "ledger"}]}],
-    })
-}
-
 async fn start(number: u8, log_filter: Option<&str>) -> Daemon {
     let store = Store::start().await;
     let address = backend::start_with_nodelay(true).await;
     let mut spec = entry_spec(&address.to_string());
     spec["info"]["slots"] = json!(1000);
     store.put("servers", "s0", spec, entry_status("ready"));
-    store.put("config", "main", configuration(), Value::Null);
+    store.put("config", "main", daemon::configuration(), Value::Null);
     Daemon::start_with_output(number, store.address, log_filter, Some(Stdio::piped())).await
 }
 
@@ -96,17 +83,10 @@
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let mut ticks = interval(Duration::from_secs(1) / rate_per_s as u32);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
-    let mut received = Vec::new();
     for request in 0..rate_per_s * seconds {
         ticks.tick().await;
-        let request = callers::get(2, &format!("c{caller}-{request}"));
-        let sent = stream.write_all(request.as_bytes()).await;
-        sent.expect("a request is sent");
-        received.clear();
-        while !received.ends_with(b"\r\n\r\nxx") {
-            let count = stream.read_buf(&mut received).await.expect("a response");
-            assert!(count > 0, "the daemon closed the connection");
-        }
+        let response = callers::ask(&mut stream, &format!("c{caller}-{request}")).await;
+        assert!(response.is_some(), "the daemon closed the connection");
     }
     rate_per_s * seconds
 }
