Deliver the response of a failed attempt if the server of the retry refuses

What callers saw: 502 no-response, though a server had answered.

Cause: each response but an unknown one replaced the last one, so the refusal of the retry took the place of the response that was for the caller; since the request may have run, the refusal could not be passed on either.

Change: the refusal of a retry doesn't replace the response of an attempt that may have run. Before, response_to_the_first_attempt_is_delivered_if_the_retry_is_refused failed with 502; now all tests of the edge crate pass.

--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -462,8 +462,10 @@
             self.refusals += 1;
             self.refused_by.push(ended.key);
         }
+        // A refusal of the retry says nothing about the first attempt, whose response is for the caller.
+        let is_refused_retry = end == AttemptEnd::NotRun && self.may_have_run;
         self.may_have_run |= matches!(end, AttemptEnd::Failed | AttemptEnd::Unknown);
-        if response.is_some() && end != AttemptEnd::Unknown {
+        if response.is_some() && end != AttemptEnd::Unknown && !is_refused_retry {
             self.last_response = response;
         }
         self.last_end = Some(end);
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -185,6 +185,19 @@
     assert_eq!(connections, [1, 1, 1]);
 }
 
+/// Guards against a response of a server that is dropped because the server of the retry refused.
+#[tokio::test]
+async fn response_to_the_first_attempt_is_delivered_if_the_retry_is_refused() {
+    let failed = Action::Respond(500, "broken", Duration::ZERO);
+    let failing = Backend::start([failed]).await;
+    let full = Backend::start(std::iter::repeat_n(Action::Refuse, 200)).await;
+    let daemon = Daemon::with_backends(&[&failing, &full]).await;
+    let response = daemon.fetch(&get("/read/x", "r1")).await;
+    assert_eq!((response.status, &*response.body), (500, "broken"));
+    assert_eq!(failing.received_requests().len(), 1);
+    assert!(!full.received_requests().is_empty());
+}
+
 #[tokio::test]
 async fn metrics_count_the_servers_of_a_service_by_use() {
     let [used, unused] = [Backend::start([]).await, Backend::start([]).await];
