Log the connection of attempts that were not served; count skipped responses

A request that may run once is sent again only after a refusal. Three hypotheses explain a refusal that was wrong: a copy on a connection that had carried the request before, bytes merged with another response, or a refusal of another process. The log named only the server and the status, so it could tell none of them apart.

The attempts of the line 'forward: ended' now name the connection (new or reused, and its local port) and the responses to other requests that were skipped on it. The metric corianderworks_edge_skipped_responses_total{service} shows that some server of a service sends responses more than once. The new test fails without the change; trace reads the longer lines.

No logic is changed.

--- a/crates/corianderworks/tests/trace.rs
+++ b/crates/corianderworks/tests/trace.rs
@@ -6,7 +6,7 @@
 const VM_1_LOG: &str = r#"
 {"timestamp":"2026-02-24T22:40:50.000Z","message":"daemon: starting","vm":"vm-1"}
 {"timestamp":"2026-02-24T22:40:57.000Z","message":"forward: ended","request":"other","servers":"s1(busy 0, failing 0.02, expected 198 ms) failed:500","reason":"server-failed","status":500,"took_ms":3}
-{"timestamp":"2026-02-24T22:40:57.100Z","message":"forward: ended","request":"asked","route":"fees","service":"ledger","servers":"s1(busy 1, failing 0.40, expected 198 ms) failed:500 s2(busy 0, failing 0.02, expected 300 ms) not-run:503 (no budget for another attempt)","reason":"server-failed","status":500,"took_ms":12}
+{"timestamp":"2026-02-24T22:40:57.100Z","message":"forward: ended","request":"asked","route":"fees","service":"ledger","servers":"s1(busy 1, failing 0.40, expected 198 ms) failed:500 (reused port 40112) s2(busy 0, failing 0.02, expected 300 ms) not-run:503 (new port 40114, skipped 1) (no budget for another attempt)","reason":"server-failed","status":500,"took_ms":12}
 "#;
 const COMBINED_LOG: &str = r#"
   7.2 vm-2 {"timestamp":"2026-02-24T22:40:56.900Z","message":"forward: ended","request":"third","servers":"s1(busy 0, failing 0.02, expected 198 ms)","reason":"served","status":200,"took_ms":30}
--- a/crates/corianderworks_edge/src/metrics.rs
+++ b/crates/corianderworks_edge/src/metrics.rs
@@ -83,6 +83,7 @@
     held_bytes: Gauge<u64>,
     connections: Gauge<u64>,
     connections_closed: Counter<u64>,
+    skipped_responses: Counter<u64>,
 }
 
 impl Metrics {
@@ -150,6 +151,9 @@
             connections_closed: meter
                 .u64_counter("corianderworks_edge_connections_closed")
                 .build(),
+            skipped_responses: meter
+                .u64_counter("corianderworks_edge_skipped_responses")
+                .build(),
             registry,
             _provider: Arc::new(provider),
         })
@@ -293,6 +297,15 @@
         self.connections_closed.add(1, &labels);
     }
 
+    /// Counts responses of backend servers that belong to other requests than the one in progress on
+    /// their connection.
+    pub fn skipped_responses(&self, service: &Arc<str>, count: u32) {
+        if count > 0 {
+            let labels = [KeyValue::new("service", service.clone())];
+            self.skipped_responses.add(u64::from(count), &labels);
+        }
+    }
+
     /// Sets the gauge of the memory that connections hold for a purpose.
     pub fn set_held_bytes(&self, kind: &'static str, bytes: u64) {
         self.held_bytes
--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -24,8 +24,8 @@
 use crate::reply::Reply;
 use crate::state::{Edge, Lifecycle};
 use crate::upstream::{
-    ConnectionReuse, Exchange, ExchangeResult, OutgoingRequest, ResponseBody, ResponseError,
-    Target, UpstreamResponse,
+    ConnectionReuse, Exchange, ExchangeResult, Observations, OutgoingRequest, ResponseBody,
+    ResponseError, Target, UpstreamResponse,
 };
 use crate::waiting::Turn;
 
@@ -430,6 +430,10 @@
     fn ended(&mut self, ended: EndedAttempt) -> Step {
         self.open_attempts.retain(|(key, _, _)| *key != ended.key);
         self.record_announcements(&ended);
+        let observations = ended.exchange.observations;
+        self.edge
+            .metrics
+            .skipped_responses(&self.routing.service, observations.skipped_responses);
         let (end, evidence, response) = classify(ended.exchange.result);
         if let Some(ResponseBody::Complete(body)) = response.as_ref().map(|r| &r.body) {
             self.edge
@@ -446,7 +450,7 @@
         if end != AttemptEnd::Served {
             let status = response.as_ref().map(|r| r.head.status);
             self.attempt_history
-                .push(format!("{}:{}", end_name(end), status.unwrap_or_default()));
+                .push(describe_end(end, status, observations));
             tracing::debug!(
                 server = &*ended.target.id,
                 ?end,
@@ -474,7 +478,7 @@
 
     /// Records whether the server is shutting down or wants no requests for some time.
     fn record_announcements(&self, ended: &EndedAttempt) {
-        if ended.exchange.leaving {
+        if ended.exchange.observations.is_leaving {
             self.edge.record_leaving(ended.key);
         }
         let ExchangeResult::Response(response) = &ended.exchange.result else {
@@ -617,6 +621,25 @@
     }
 }
 
+/// Describes the end of an attempt for the log line of its request, with what tells a response to the
+/// attempt from one to an earlier request on the same connection.
+fn describe_end(end: AttemptEnd, status: Option<u16>, observations: Observations) -> String {
+    let mut text = format!("{}:{}", end_name(end), status.unwrap_or_default());
+    if let Some(connection) = observations.connection {
+        let kind = if connection.is_reused {
+            "reused"
+        } else {
+            "new"
+        };
+        text.push_str(&format!(" ({kind} port {}", connection.local_port));
+        if observations.skipped_responses > 0 {
+            text.push_str(&format!(", skipped {}", observations.skipped_responses));
+        }
+        text.push(')');
+    }
+    text
+}
+
 fn end_name(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Served => "served",
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -37,7 +37,7 @@
 /// Status of a response by another server process than the expected one.
 const MISDIRECTED: u16 = 421;
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
-const MISMATCHED_RESPONSES_MAX: usize = 3;
+const MISMATCHED_RESPONSES_MAX: u32 = 3;
 /// Maximum number of interim (1xx) responses before a response.
 const INTERIM_RESPONSES_MAX: usize = 16;
 /// Maximum size of the body of a response to another request, which is skipped, in bytes.
@@ -107,13 +107,33 @@
     Never,
 }
 
-/// Result of an exchange, and what the server said of itself.
+/// Result of an exchange, and what else was seen during it.
 #[derive(Debug)]
 pub struct Exchange {
     /// Result of the exchange.
     pub result: ExchangeResult,
+    /// What was seen on the connection.
+    pub observations: Observations,
+}
+
+/// What an exchange showed besides its result.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Observations {
+    /// Connection that the request was sent on; `None` if nothing was sent.
+    pub connection: Option<ConnectionUse>,
     /// Whether the server said that it is shutting down, in any response that it sent.
-    pub leaving: bool,
+    pub is_leaving: bool,
+    /// Number of responses to other requests that were skipped.
+    pub skipped_responses: u32,
+}
+
+/// Connection that carried a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Local port, which identifies the connection among those to the same server.
+    pub local_port: u16,
+    /// Whether the connection had carried other requests before.
+    pub is_reused: bool,
 }
 
 /// Result of sending a request and receiving its response.
@@ -160,6 +180,16 @@
     _descriptor: DescriptorGuard,
 }
 
+impl Connection {
+    fn connection_use(&self) -> Option<ConnectionUse> {
+        let local = self.stream.local_addr().ok()?;
+        Some(ConnectionUse {
+            local_port: local.port(),
+            is_reused: self.reused,
+        })
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
@@ -208,11 +238,14 @@
         time_left: Duration,
         reuse: ConnectionReuse,
     ) -> Exchange {
-        let mut leaving = false;
+        let mut observations = Observations::default();
         let result = self
-            .send_request(outgoing, target, time_left, reuse, &mut leaving)
+            .send_request(outgoing, target, time_left, reuse, &mut observations)
             .await;
-        Exchange { result, leaving }
+        Exchange {
+            result,
+            observations,
+        }
     }
 
     async fn send_request(
@@ -221,7 +254,7 @@
         target: &Target,
         time_left: Duration,
         reuse: ConnectionReuse,
-        leaving: &mut bool,
+        observations: &mut Observations,
     ) -> ExchangeResult {
         let head = encode_head(outgoing, target, time_left);
         let deadline = Instant::now() + time_left;
@@ -239,7 +272,7 @@
                     Err(error) => return ExchangeResult::NotSent(error),
                 },
             };
-            match send_and_receive(&mut connection, &head, outgoing, leaving).await {
+            match send_and_receive(&mut connection, &head, outgoing, observations).await {
                 // No byte of the request was sent, so it is safe to use another connection.
                 Err(SendError::NothingSent(_)) if connection.reused => continue,
                 Err(SendError::NothingSent(error)) => return ExchangeResult::NotSent(error),
@@ -473,7 +506,7 @@
     connection: &mut Connection,
     head: &Bytes,
     outgoing: &OutgoingRequest,
-    leaving: &mut bool,
+    observations: &mut Observations,
 ) -> Result<ReceivedHead, SendError> {
     let reused = connection.reused;
     let mut request: Chain<Bytes, Bytes> = head.clone().chain(outgoing.body.clone());
@@ -482,16 +515,16 @@
         .write_buf(&mut request)
         .await
         .map_err(SendError::NothingSent)?;
+    observations.connection = connection.connection_use();
     let (mut reader, mut writer) = connection.stream.split();
     let buffer = &mut connection.buffer;
-    let mut mismatched = 0;
     let mut interim = 0;
     let mut any_received = false;
     let mut write_failed = false;
     loop {
         let parsed = take_response_head(buffer, &outgoing.head.method)
             .map_err(|_| SendError::ResponseError(ResponseError::Malformed))?;
-        *leaving |= parsed.as_ref().is_some_and(announces_leaving);
+        observations.is_leaving |= parsed.as_ref().is_some_and(announces_leaving);
         match parsed {
             Some(head) if (100..200).contains(&head.status) => {
                 interim += 1;
@@ -500,7 +533,13 @@
                 }
                 continue;
             }
-            Some(head) if matches_request(&head, outgoing, reused || mismatched > 0) => {
+            Some(head)
+                if matches_request(
+                    &head,
+                    outgoing,
+                    reused || observations.skipped_responses > 0,
+                ) =>
+            {
                 let request_complete = !request.has_remaining() && !write_failed;
                 return Ok(ReceivedHead {
                     head,
@@ -508,8 +547,10 @@
                 });
             }
             Some(head) => {
-                mismatched += 1;
-                if mismatched > MISMATCHED_RESPONSES_MAX || head.framing == Framing::UntilClose {
+                observations.skipped_responses += 1;
+                if observations.skipped_responses > MISMATCHED_RESPONSES_MAX
+                    || head.framing == Framing::UntilClose
+                {
                     return Err(SendError::ResponseError(ResponseError::MismatchedResponse));
                 }
                 skip_body(&mut reader, buffer, head.framing)
--- a/crates/corianderworks_edge/tests/decision_log.rs
+++ b/crates/corianderworks_edge/tests/decision_log.rs
@@ -36,6 +36,28 @@
     );
 }
 
+/// Guards against a wrong refusal or failure of which the log can't tell whether it was the response
+/// to an earlier request on the connection.
+#[tokio::test]
+async fn line_of_a_failed_request_names_the_connection_and_the_skipped_responses() {
+    const OTHER_THEN_OWN: &str = "HTTP/1.1 503 Full\r\nRequest-Id: other\r\nNot-Executed: 1\r\n\
+                                  Content-Length: 0\r\n\r\nHTTP/1.1 500 Bad\r\n\
+                                  Request-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+    let log = Log::start();
+    let backend = Backend::start([support::OK, Action::Raw(OTHER_THEN_OWN)]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    for id in ["skip-1", "skip-2"] {
+        daemon.fetch(&support::post("/write/x", id, "fee")).await;
+    }
+    let line = log.line("forward: ended", ("request", "skip-2")).await;
+    let servers = line["servers"].as_str().unwrap();
+    assert!(servers.contains("failed:500 (reused port "), "{servers}");
+    assert!(servers.ends_with(", skipped 1)"), "{servers}");
+    let metrics = daemon.edge.metrics_text().unwrap();
+    let skipped = "corianderworks_edge_skipped_responses_total{service=\"ledger\"} 1";
+    assert!(metrics.contains(skipped), "{metrics}");
+}
+
 /// Guards against servers that get no requests without a line that tells since when and why.
 #[tokio::test]
 async fn suspected_server_is_logged_with_its_evidence() {
