Tests: copies of refusals on a connection that the request uses again

* the entry of a server leaves the store and comes back between the refusal and the retry: 200 after 2 runs, expected 1
* a restarted server is listed under two ids, refuses a request for the old one with 421 and gets the retry for the new one: 200 after 2 runs
* the caller repeats a refused request under its id: 503, though it ran

A retry uses a new connection only if the key of the server was tried in the same run of the request, and none of the three has that.

--- a/crates/corianderworks_edge/tests/announcements.rs
+++ b/crates/corianderworks_edge/tests/announcements.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use support::{Action, Backend, Daemon, get, header, post};
+use support::{Action, Backend, Daemon, RESPONSE_TIMEOUT, assert_eventually, get, header, post};
 
 const LEAVING: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\
                        Server-Leaving: 1\r\nContent-Length: 4\r\n\r\nlast";
@@ -160,6 +160,50 @@
     assert_eq!(backend.received_requests().len(), 4);
 }
 
+/// As above, but the server's entry leaves the store and comes back before the retry.
+#[tokio::test]
+async fn a_repeated_refusal_is_not_believed_after_the_entry_of_the_server_came_back() {
+    let actions = [Action::Refuse, Action::RespondAfterRepeatedRefusal];
+    let backend = Backend::start(actions).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let mut caller = daemon.connect().await;
+    caller.send(&post("/write/x", "w1", "fee")).await;
+    let is_refused = || !backend.received_requests().is_empty();
+    assert_eventually(RESPONSE_TIMEOUT, "a refused attempt", is_refused).await;
+    daemon.remove_entry("s0", 2);
+    daemon.apply_entry("s0", &backend, "a", 3);
+    let response = caller.response().await.expect("a response");
+    let runs = backend.received_requests().len() - 1;
+    assert_eq!((response.status, runs), (200, 1));
+}
+
+/// As above, but the process is listed under two ids and refuses requests for its predecessor.
+#[tokio::test]
+async fn a_repeated_refusal_is_not_believed_at_a_server_with_two_entries() {
+    let actions = [Action::Misdirected, Action::RespondAfterRepeatedRefusal];
+    let backend = Backend::start(actions).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    daemon.apply_entry("s1", &backend, "a", 1);
+    let response = daemon.fetch(&post("/write/x", "w1", "fee")).await;
+    let runs = backend.received_requests().len() - 1;
+    assert_eq!((response.status, runs), (200, 1));
+}
+
+/// As above, but the caller sends the request again under the same id.
+#[tokio::test]
+async fn a_repeated_refusal_is_not_believed_if_the_caller_repeats_the_id() {
+    let refused = Action::Raw(PAUSED);
+    let actions = [refused, Action::RespondAfterRepeatedRefusal];
+    let backend = Backend::start(actions).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    let response = daemon.fetch(&post("/write/x", "w1", "fee")).await;
+    assert_eq!(response.status, 503);
+    tokio::time::sleep(PAUSE).await;
+    let response = daemon.fetch(&post("/write/x", "w1", "fee")).await;
+    let runs = backend.received_requests().len() - 1;
+    assert_eq!((response.status, runs), (200, 1));
+}
+
 /// A faulty server sends the start of an earlier refusal, then the response to a request that it has
 /// run. Read as one head, the two are a refusal of that request, and it would run a second time.
 #[tokio::test]
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use corianderworks_decision::edge::servers::ServerEntry;
 use corianderworks_edge::caller;
 use corianderworks_edge::metrics::Metrics;
-use corianderworks_edge::state::Edge;
+use corianderworks_edge::state::{Edge, EntryRemoval};
 use corianderworks_platform::settings::Settings;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -183,8 +183,13 @@
                 connection,
             };
             self.state.received_requests.lock().push(received_request);
-            if matches!(action, Action::Refuse) {
-                last_refusal = refusal(&head);
+            match action {
+                Action::Refuse => last_refusal = refusal(&head),
+                Action::Misdirected => last_refusal = misdirected(&head),
+                Action::Raw(text) if text.contains("Not-Executed") => {
+                    last_refusal = with_id(text, &head);
+                }
+                _ => {}
             }
             let repeated = match action {
                 Action::RespondAfterRepeatedRefusal => last_refusal.as_bytes(),
@@ -210,11 +215,8 @@
             }
             Action::Refuse => (refusal(head), true),
             Action::RespondAfterRepeatedRefusal => (signed_response(head, 200, "done"), true),
-            Action::Misdirected => {
-                let text = "HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
-                (text.replace("{id}", &id), true)
-            }
-            Action::Raw(text) => (text.replace("{id}", &id), true),
+            Action::Misdirected => (misdirected(head), true),
+            Action::Raw(text) => (with_id(text, head), true),
             Action::RawThenClose(text) => (text.replace("{id}", &id), false),
             Action::RawThenReset(text) => {
                 let sent = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
@@ -244,9 +246,21 @@
     }
 }
 
+/// Replaces `{id}` in a text by the id of a request.
+fn with_id(text: &str, head: &str) -> String {
+    text.replace("{id}", &header(head, "request-id").unwrap_or_default())
+}
+
 fn refusal(head: &str) -> String {
-    let id = header(head, "request-id").unwrap_or_default();
-    format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+    let text =
+        "HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    with_id(text, head)
+}
+
+fn misdirected(head: &str) -> String {
+    let text =
+        "HTTP/1.1 421 Other\r\nRequest-Id: {id}\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n";
+    with_id(text, head)
 }
 
 fn signed_response(head: &str, status: u16, body: &str) -> String {
@@ -383,6 +397,16 @@
         self.apply_entry(id, backend, domain, 1);
     }
 
+    /// Removes the entry of a backend server from the list as of a store revision.
+    pub fn remove_entry(&self, id: &str, revision: u64) {
+        let removal = EntryRemoval {
+            id: id.to_owned(),
+            revision,
+            may_have_lapsed: false,
+        };
+        self.edge.remove_entry(&removal, "test");
+    }
+
     /// Adds a backend server as of a store revision, or updates its entry.
     pub fn apply_entry(&self, id: &str, backend: &Backend, domain: &str, revision: u64) {
         let entry = ServerEntry {
