Never send a request on a connection that carried it before

What callers saw: a request that may run once ran twice, or was refused as not run and ran.

Cause: a faulty server may send the copy of a refusal later on the same connection. It bears the id of the refused request, so if that request is under way there again, the id tells nothing, and the daemon takes the copy for a refusal of a request that runs. The guard of, a new connection for each retry at a server, asked whether the key of the server had been tried in the same run of the request. But the pool keeps connections by address, and one process may have several keys: its entry left the store and came back, or it restarted under a new id while the old entry was still listed. A caller that repeats an id starts another run. Class: an identity that is narrower than the thing it stands for.

Change: the danger lies in the connection, so the connection remembers it: the digests of the requests that got no success on it. The pool doesn't hand it out for one of these again, whatever the server is called and whoever sends the request. With 64 of them the connection is closed. A retry at a server may use another kept connection now, where it always opened a new one; ConnectionReuse is gone.

--- a/crates/corianderworks_edge/src/run.rs
+++ b/crates/corianderworks_edge/src/run.rs
@@ -24,8 +24,8 @@
 use crate::reply::Reply;
 use crate::state::{Edge, Lifecycle};
 use crate::upstream::{
-    ConnectionReuse, Exchange, ExchangeResult, Observations, OutgoingRequest, ResponseBody,
-    ResponseError, Target, UpstreamResponse,
+    Exchange, ExchangeResult, Observations, OutgoingRequest, ResponseBody, ResponseError, Target,
+    UpstreamResponse,
 };
 use crate::waiting::Turn;
 
@@ -259,13 +259,10 @@
         let (edge, outgoing) = (self.edge.clone(), self.outgoing.clone());
         let remaining = self.remaining();
         let started = Instant::now();
-        let reuse = if self.tried_servers.contains(&choice.key) {
-            ConnectionReuse::Never
-        } else {
+        if !self.tried_servers.contains(&choice.key) {
             self.tried_servers.push(choice.key);
             self.sent += 1;
-            ConnectionReuse::Allowed
-        };
+        }
         self.refused_by.retain(|key| *key != choice.key);
         self.open_attempts.push((choice.key, started, false));
         self.attempt_history.push(format!(
@@ -279,7 +276,7 @@
         self.attempts.spawn(async move {
             let exchange = edge
                 .pool
-                .exchange(permit, &outgoing, &target, remaining, reuse)
+                .exchange(permit, &outgoing, &target, remaining)
                 .await;
             drop(guard);
             EndedAttempt {
--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -38,6 +38,9 @@
 const MISDIRECTED: u16 = 421;
 /// Maximum number of responses to other requests that are skipped before the connection is closed.
 const MISMATCHED_RESPONSES_MAX: u32 = 3;
+/// Number of requests without success after which a connection is closed, which bounds the memory for
+/// their tags.
+const UNSERVED_MAX: usize = 64;
 /// Maximum number of interim (1xx) responses before a response.
 const INTERIM_RESPONSES_MAX: usize = 16;
 /// Maximum size of the body of a response to another request, which is skipped, in bytes.
@@ -66,6 +69,17 @@
     pub caller: CallerIdentity,
 }
 
+/// Digest of a request's id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct RequestTag(u64);
+
+impl OutgoingRequest {
+    fn tag(&self) -> Option<RequestTag> {
+        let id = self.request_id.as_ref()?;
+        Some(RequestTag(xxhash_rust::xxh3::xxh3_64(id)))
+    }
+}
+
 /// Backend server that a request is sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -97,16 +111,6 @@
     pub memory: MemoryGuard,
 }
 
-/// Whether a request may be sent on an idle connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConnectionReuse {
-    /// An idle connection is preferred to a new one.
-    Allowed,
-    /// Only a new connection is used. On others, a faulty server may repeat a refusal that it has
-    /// sent for the same request before, which would pass for the response to this attempt.
-    Never,
-}
-
 /// Result of an exchange, and what else was seen during it.
 #[derive(Debug)]
 pub struct Exchange {
@@ -177,6 +181,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     reused: bool,
+    /// Requests that the server refused or failed on this connection. They may be sent again, and a
+    /// faulty server may repeat its response, whose id would then match.
+    unserved: Vec<RequestTag>,
     _descriptor: DescriptorGuard,
 }
 
@@ -236,11 +243,10 @@
         outgoing: &OutgoingRequest,
         target: &Target,
         time_left: Duration,
-        reuse: ConnectionReuse,
     ) -> Exchange {
         let mut observations = Observations::default();
         let result = self
-            .send_request(outgoing, target, time_left, reuse, &mut observations)
+            .send_request(outgoing, target, time_left, &mut observations)
             .await;
         Exchange {
             result,
@@ -253,19 +259,12 @@
         outgoing: &OutgoingRequest,
         target: &Target,
         time_left: Duration,
-        reuse: ConnectionReuse,
         observations: &mut Observations,
     ) -> ExchangeResult {
         let head = encode_head(outgoing, target, time_left);
         let deadline = Instant::now() + time_left;
         loop {
-            let idle = match reuse {
-                ConnectionReuse::Allowed => {
-                    self.take_idle(target.address, outgoing.request_idempotency)
-                }
-                ConnectionReuse::Never => None,
-            };
-            let mut connection = match idle {
+            let mut connection = match self.take_idle(target.address, outgoing) {
                 Some(connection) => connection,
                 None => match self.connect(target.address).await {
                     Ok(connection) => connection,
@@ -280,6 +279,9 @@
                     return ExchangeResult::Unknown(response_error);
                 }
                 Ok(received) => {
+                    if !is_success(&received.head) {
+                        connection.unserved.extend(outgoing.tag());
+                    }
                     return self
                         .receive_body(connection, target.address, received, deadline)
                         .await;
@@ -337,7 +339,11 @@
                 return ExchangeResult::Response(UpstreamResponse { head, body, memory });
             }
         }
-        if received.request_complete && received.head.keep_alive && connection.buffer.is_empty() {
+        let is_reusable = received.request_complete
+            && received.head.keep_alive
+            && connection.buffer.is_empty()
+            && connection.unserved.len() < UNSERVED_MAX;
+        if is_reusable {
             self.return_connection(connection, address, &received.head);
         }
         ExchangeResult::Response(UpstreamResponse {
@@ -358,6 +364,7 @@
             stream,
             buffer: BytesMut::new(),
             reused: false,
+            unserved: Vec::new(),
             _descriptor: descriptor,
         })
     }
@@ -391,18 +398,20 @@
         self.idle.lock().entry(address).or_default().push(idle);
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        request_idempotency: Idempotency,
-    ) -> Option<Connection> {
-        let part = match request_idempotency {
+    /// Takes an idle connection on which no response to the request may still be repeated.
+    fn take_idle(&self, address: SocketAddr, outgoing: &OutgoingRequest) -> Option<Connection> {
+        let part = match outgoing.request_idempotency {
             Idempotency::Idempotent => 1.0,
             Idempotency::NonIdempotent => IDLE_TIMEOUT_SHARE_NON_IDEMPOTENT,
         };
+        let tag = outgoing.tag();
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&address)?;
-        while let Some(entry) = connections.pop() {
+        for at in (0..connections.len()).rev() {
+            if tag.is_some_and(|tag| connections[at].connection.unserved.contains(&tag)) {
+                continue;
+            }
+            let entry = connections.remove(at);
             let idle_for = entry.idle_since.elapsed();
             if idle_for < entry.idle_timeout.mul_f64(part) && is_reusable(&entry.connection.stream)
             {
@@ -581,6 +590,10 @@
     }
 }
 
+fn is_success(head: &ResponseHead) -> bool {
+    (200..300).contains(&head.status)
+}
+
 /// Whether a response says that the expected server is shutting down. A misdirected request was
 /// answered by another one.
 fn announces_leaving(head: &ResponseHead) -> bool {
--- a/crates/corianderworks_edge/tests/announcements.rs
+++ b/crates/corianderworks_edge/tests/announcements.rs
@@ -204,6 +204,21 @@
     assert_eq!((response.status, runs), (200, 1));
 }
 
+/// What a connection remembers of failed requests must not grow without bound.
+#[tokio::test]
+async fn a_connection_with_many_failed_requests_is_replaced() {
+    let failed = Action::Respond(500, "bad", Duration::ZERO);
+    let backend = Backend::start(vec![failed; 65]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    for i in 0..65 {
+        let response = daemon.fetch(&post("/write/x", &format!("w{i}"), "")).await;
+        assert_eq!(response.status, 500);
+    }
+    let received = backend.received_requests();
+    assert!(received[..64].iter().all(|r| r.connection == 1));
+    assert_eq!(received[64].connection, 2);
+}
+
 /// A faulty server sends the start of an earlier refusal, then the response to a request that it has
 /// run. Read as one head, the two are a refusal of that request, and it would run a second time.
 #[tokio::test]
