Keep the key of a server's run while its entry is away

What callers could see: a server that says in a response that it is leaving still gets requests, if its entry left the store and came back while the request was in progress. The same holds for a pause, and the evidence of such an attempt was lost.

What a request knows of its server, such as the servers that it tried, goes by key, and a run whose entry came back got a new key. What arrived under the old one was dropped without a trace.

Change: a run at an address keeps its key until it is forgotten, 15 min after its removal. While it is not listed, its announcements are recorded with the removal and told to the other daemons. Attempts in flight are counted on, so that their ends don't lower the count of later ones.

--- a/crates/corianderworks_decision/src/edge/load_balancer.rs
+++ b/crates/corianderworks_decision/src/edge/load_balancer.rs
@@ -446,9 +446,16 @@
         }
     }
 
-    /// Discards the load and observations of a server that left the list.
+    /// Discards the observations of a server that left the list. It may come back under its key, and
+    /// the attempts that this daemon has in flight end then.
     pub fn remove_server(&mut self, key: ServerKey) {
+        let own_in_flight = self.own_in_flight(key);
         self.states.remove(key);
+        if own_in_flight > 0
+            && let Some(state) = self.state(key)
+        {
+            state.own_in_flight = own_in_flight;
+        }
     }
 
     /// Applies an observation reported by another daemon, before the load of the same report.
--- a/crates/corianderworks_decision/src/edge/servers.rs
+++ b/crates/corianderworks_decision/src/edge/servers.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
 use super::peer_load::ServerTag;
 
@@ -30,7 +30,8 @@
 const REMOVED_MEMORY: Duration = Duration::from_secs(15 * 60);
 
 new_key_type! {
-    /// Key of a run of a backend server; only valid within one daemon.
+    /// Key of a run of a backend server at an address; only valid within one daemon. A run whose
+    /// entry leaves the store and comes back keeps its key.
     pub struct ServerKey;
 }
 
@@ -139,14 +140,33 @@
     }
 }
 
-/// A server that was removed.
+/// What a key stands for, also if the server was removed recently.
+#[derive(Debug)]
+pub struct Run {
+    /// Id of the server in the store.
+    pub id: Arc<str>,
+    /// Tag of the run in reports.
+    pub tag: ServerTag,
+}
+
+/// Id whose entry was removed.
 #[derive(Debug)]
 struct Removed {
     /// Store revision up to which entries under the id are outdated.
     revision: u64,
+    /// Run that was listed; `None` if none was known.
+    run: Option<RemovedRun>,
+    at: Duration,
+}
+
+/// Run of a server that was removed and may be listed again.
+#[derive(Debug)]
+struct RemovedRun {
+    key: ServerKey,
     started_unix_ms: u64,
+    service: Arc<str>,
+    address: SocketAddr,
     announced: Announced,
-    at: Duration,
 }
 
 /// Result of applying an update to [`Servers`].
@@ -170,7 +190,7 @@
 /// A server that has just been removed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RemovedServer {
-    /// Key that it had; no longer valid.
+    /// Its key.
     pub key: ServerKey,
     /// Its id in the store.
     pub id: Arc<str>,
@@ -193,7 +213,9 @@
 /// All known backend servers, indexed by id, tag and service.
 #[derive(Debug)]
 pub struct Servers {
-    arena: SlotMap<ServerKey, Server>,
+    /// Runs that are listed or were removed recently.
+    runs: SlotMap<ServerKey, Run>,
+    listed: SecondaryMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
     by_tag: HashMap<ServerTag, ServerKey>,
     by_service: HashMap<Arc<str>, Vec<ServerKey>>,
@@ -225,7 +247,8 @@
     /// shorter outage ends before the entries of running servers expire.
     pub fn with_lapse_outage_min(lapse_outage_min: Duration) -> Self {
         Self {
-            arena: SlotMap::default(),
+            runs: SlotMap::default(),
+            listed: SecondaryMap::default(),
             by_id: HashMap::new(),
             by_tag: HashMap::new(),
             by_service: HashMap::new(),
@@ -266,14 +289,25 @@
 
     /// Returns a server, or `None` if it was removed.
     pub fn get(&self, key: ServerKey) -> Option<&Server> {
-        self.arena.get(key)
+        self.listed.get(key)
     }
 
-    /// Returns the key of the run with this tag.
+    /// Returns the key of the listed run with this tag.
     pub fn key_of_tag(&self, tag: ServerTag) -> Option<ServerKey> {
+        let key = self.key_of_run(tag)?;
+        self.listed.contains_key(key).then_some(key)
+    }
+
+    /// Returns the key of the run with this tag, also if it was removed recently.
+    pub fn key_of_run(&self, tag: ServerTag) -> Option<ServerKey> {
         self.by_tag.get(&tag).copied()
     }
 
+    /// Returns a run, also if it was removed recently.
+    pub fn run(&self, key: ServerKey) -> Option<&Run> {
+        self.runs.get(key)
+    }
+
     /// Returns the key of the current run with this id.
     pub fn key_of_id(&self, id: &str) -> Option<ServerKey> {
         self.by_id.get(id).copied()
@@ -296,7 +330,7 @@
         let keys = self.by_service.get(service).map(Vec::as_slice);
         keys.unwrap_or_default()
             .iter()
-            .filter_map(|k| self.arena.get(*k).map(|s| (*k, s)))
+            .filter_map(|k| self.listed.get(*k).map(|s| (*k, s)))
     }
 
     /// Returns the services that have or had servers.
@@ -306,17 +340,17 @@
 
     /// Returns the entries of all servers, including lapsed ones.
     pub fn entries(&self) -> impl Iterator<Item = &ServerEntry> {
-        self.arena.values().map(|s| &s.entry)
+        self.listed.values().map(|s| &s.entry)
     }
 
     /// Returns the number of servers, including those with a lapsed entry.
     pub fn len(&self) -> usize {
-        self.arena.len()
+        self.listed.len()
     }
 
     /// Whether no server is known.
     pub fn is_empty(&self) -> bool {
-        self.arena.is_empty()
+        self.listed.is_empty()
     }
 
     /// Adds or updates the server of an entry. An entry of an earlier run or with an outdated
@@ -334,7 +368,7 @@
 
     fn find_mut(&mut self, id: &str) -> Option<(ServerKey, &mut Server)> {
         let key = self.key_of_id(id)?;
-        Some((key, self.arena.get_mut(key)?))
+        Some((key, self.listed.get_mut(key)?))
     }
 
     fn add_or_update(&mut self, entry: ServerEntry, now: Duration) -> Change {
@@ -366,19 +400,29 @@
         }
     }
 
-    /// Records what a server said of itself. Returns whether it is new.
+    /// Records what a server said of itself, also if it was removed recently. Returns whether it is
+    /// new.
     pub fn announce(&mut self, key: ServerKey, announcement: Announcement) -> bool {
-        let Some(server) = self.arena.get_mut(key) else {
+        let Some(announced) = self.announced_mut(key) else {
             return false;
         };
-        let before = server.announced;
-        server.announced.record(announcement);
-        server.announced != before
+        let before = *announced;
+        announced.record(announcement);
+        *announced != before
+    }
+
+    fn announced_mut(&mut self, key: ServerKey) -> Option<&mut Announced> {
+        if let Some(server) = self.listed.get_mut(key) {
+            return Some(&mut server.announced);
+        }
+        let removed = self.removed.get_mut(&self.runs.get(key)?.id)?;
+        let run = removed.run.as_mut().filter(|run| run.key == key)?;
+        Some(&mut run.announced)
     }
 
     /// Returns the servers that said that they are shutting down.
     pub fn leaving(&self) -> impl Iterator<Item = &ServerEntry> {
-        let leaving = self.arena.values().filter(|s| s.announced.leaving);
+        let leaving = self.listed.values().filter(|s| s.announced.leaving);
         leaving.map(|s| &s.entry)
     }
 
@@ -434,7 +478,7 @@
 
     /// Returns a digest of all entries that are in the store. It doesn't depend on their order.
     pub fn digest(&self) -> u64 {
-        let listed = self.arena.values().filter(|s| s.expires_at.is_none());
+        let listed = self.listed.values().filter(|s| s.expires_at.is_none());
         listed.fold(0, |digest, server| digest ^ server.entry_digest)
     }
 
@@ -469,7 +513,7 @@
     pub fn remove_expired(&mut self, now: Duration) -> Vec<RemovedServer> {
         let expired = |s: &Server| s.expires_at.is_some_and(|at| now >= at);
         let removed: Vec<_> = self
-            .arena
+            .listed
             .iter()
             .filter(|(_, s)| expired(s))
             .map(|(key, server)| RemovedServer {
@@ -481,23 +525,52 @@
         for server in &removed {
             self.remove_server(server.key, now);
         }
-        self.removed
-            .retain(|_, r| now.saturating_sub(r.at) < REMOVED_MEMORY);
+        self.forget_removed(now);
         removed
     }
 
+    /// Forgets the runs that were removed too long ago to come back.
+    fn forget_removed(&mut self, now: Duration) {
+        let is_old = |r: &Removed| now.saturating_sub(r.at) >= REMOVED_MEMORY;
+        let forgotten: Vec<_> = self.removed.extract_if(|_, r| is_old(r)).collect();
+        for run in forgotten.into_iter().filter_map(|(_, r)| r.run) {
+            self.forget_run(run.key);
+        }
+    }
+
+    fn forget_run(&mut self, key: ServerKey) {
+        if let Some(run) = self.runs.remove(key)
+            && self.by_tag.get(&run.tag) == Some(&key)
+        {
+            self.by_tag.remove(&run.tag);
+        }
+    }
+
     fn insert(&mut self, entry: ServerEntry, now: Duration) -> ServerKey {
-        let (id, service) = (entry.id.clone(), entry.service.clone());
-        let tag = entry.tag();
-        let removed = self.removed.remove(&id);
-        let same_run = removed.filter(|r| r.started_unix_ms == entry.started_unix_ms);
-        let key = self.arena.insert(Server {
+        let (id, service, tag) = (entry.id.clone(), entry.service.clone(), entry.tag());
+        let removed = self.removed.remove(&id).and_then(|removed| removed.run);
+        let same_run = removed
+            .as_ref()
+            .filter(|run| run.started_unix_ms == entry.started_unix_ms);
+        let announced = same_run.map(|run| run.announced).unwrap_or_default();
+        let kept_key = same_run
+            .filter(|run| run.address == entry.address && run.service == entry.service)
+            .map(|run| run.key);
+        let key = kept_key.unwrap_or_else(|| {
+            let id = id.clone();
+            self.runs.insert(Run { id, tag })
+        });
+        if let Some(run) = removed.filter(|run| run.key != key) {
+            self.forget_run(run.key);
+        }
+        let server = Server {
             cold_until: now + entry.cold,
             entry_digest: entry_digest(&entry),
             entry,
             expires_at: None,
-            announced: same_run.map(|r| r.announced).unwrap_or_default(),
-        });
+            announced,
+        };
+        self.listed.insert(key, server);
         self.by_id.insert(id, key);
         self.by_tag.insert(tag, key);
         self.by_service.entry(service).or_default().push(key);
@@ -508,8 +581,7 @@
     fn remember_removal(&mut self, id: Arc<str>, revision: u64, now: Duration) {
         let removed = self.removed.entry(id).or_insert(Removed {
             revision,
-            started_unix_ms: 0,
-            announced: Announced::default(),
+            run: None,
             at: now,
         });
         removed.revision = removed.revision.max(revision);
@@ -518,19 +590,24 @@
     fn remove_server(&mut self, key: ServerKey, now: Duration) {
         let Some(Server {
             entry, announced, ..
-        }) = self.arena.remove(key)
+        }) = self.listed.remove(key)
         else {
             return;
         };
         self.by_id.remove(&entry.id);
-        self.by_tag.remove(&entry.tag());
         if let Some(keys) = self.by_service.get_mut(&entry.service) {
             keys.retain(|k| *k != key);
         }
-        let removed = Removed {
-            revision: entry.revision,
+        let run = RemovedRun {
+            key,
             started_unix_ms: entry.started_unix_ms,
+            service: entry.service,
+            address: entry.address,
             announced,
+        };
+        let removed = Removed {
+            revision: entry.revision,
+            run: Some(run),
             at: now,
         };
         self.removed.insert(entry.id, removed);
--- a/crates/corianderworks_decision/tests/edge_servers.rs
+++ b/crates/corianderworks_decision/tests/edge_servers.rs
@@ -248,6 +248,49 @@
     assert_eq!(accepting_count(&servers, at_ms(5)), 2);
 }
 
+/// Attempts of requests in progress name the server by its key.
+#[test]
+fn a_run_keeps_its_key_if_its_entry_leaves_and_comes_back() {
+    let mut servers = servers_with(&["s1"]);
+    let first = key(&servers, "s1");
+    servers.remove_entry("s1", 2, Duration::ZERO, at_ms(1));
+    assert!(servers.get(first).is_none());
+    assert_eq!(servers.key_of_tag(entry("s1").tag()), None);
+    // What it said meanwhile holds when it is back.
+    assert!(servers.announce(first, Announcement::Leaving));
+    servers.upsert(entry_at("s1", 3), at_ms(2));
+    assert_eq!(key(&servers, "s1"), first);
+    assert_eq!(servers.key_of_tag(entry("s1").tag()), Some(first));
+    assert_eq!(accepting_count(&servers, at_ms(2)), 0);
+    // Another run, or another address, is another server.
+    for (revision, started_unix_ms, port) in [(5, 2_000, 80), (7, 2_000, 81)] {
+        let before = key(&servers, "s1");
+        servers.remove_entry("s1", revision - 1, Duration::ZERO, at_ms(3));
+        let other = ServerEntry {
+            started_unix_ms,
+            address: SocketAddr::from(([10, 0, 0, 1], port)),
+            ..entry_at("s1", revision)
+        };
+        servers.upsert(other, at_ms(4));
+        assert_ne!(key(&servers, "s1"), before);
+        assert!(!servers.announce(before, Announcement::Leaving));
+    }
+    // Nothing is kept forever.
+    servers.remove_entry("s1", 8, Duration::ZERO, at_ms(5));
+    let last = servers
+        .key_of_run(entry_of_run(2_000).tag())
+        .expect("a run");
+    servers.remove_expired(at_ms(5) + Duration::from_secs(15 * 60));
+    assert!(servers.run(last).is_none());
+}
+
+fn entry_of_run(started_unix_ms: u64) -> ServerEntry {
+    ServerEntry {
+        started_unix_ms,
+        ..entry("s1")
+    }
+}
+
 #[test]
 fn a_paused_server_gets_no_requests_until_the_end_of_its_pause() {
     let mut servers = servers_with(&["s1", "s2"]);
--- a/crates/corianderworks_edge/src/reports.rs
+++ b/crates/corianderworks_edge/src/reports.rs
@@ -169,7 +169,7 @@
     /// Applies what other daemons heard from servers that are shutting down.
     fn apply_leaving(&mut self, tags: &[ServerTag]) {
         for tag in tags {
-            if let Some(key) = self.servers.key_of_tag(*tag) {
+            if let Some(key) = self.servers.key_of_run(*tag) {
                 self.record_leaving(key, "peer");
             }
         }
--- a/crates/corianderworks_edge/src/state.rs
+++ b/crates/corianderworks_edge/src/state.rs
@@ -115,9 +115,9 @@
     /// Records and logs that a server said that it is shutting down. Returns whether it is new.
     pub(crate) fn record_leaving(&mut self, key: ServerKey, source: &'static str) -> bool {
         let is_new = self.servers.announce(key, Announcement::Leaving);
-        if let Some(server) = self.servers.get(key).filter(|_| is_new) {
-            let (server, service) = (&*server.entry.id, &*server.entry.service);
-            tracing::info!(server, service, source, "servers: leaving");
+        if let Some(run) = self.servers.run(key).filter(|_| is_new) {
+            let service = self.servers.get(key).map(|s| &*s.entry.service);
+            tracing::info!(server = &*run.id, service, source, "servers: leaving");
         }
         is_new
     }
@@ -649,7 +649,7 @@
         if !state.record_leaving(key, "response") {
             return;
         }
-        if let Some(tag) = state.servers.get(key).map(|s| s.entry.tag()) {
+        if let Some(tag) = state.servers.run(key).map(|run| run.tag) {
             state.pending_report.leaving.push(tag);
         }
         drop(state);
--- a/crates/corianderworks_edge/tests/announcements.rs
+++ b/crates/corianderworks_edge/tests/announcements.rs
@@ -52,6 +52,29 @@
     }
 }
 
+/// A server that leaves must not get requests again because its entry was away while it said so.
+#[tokio::test]
+async fn an_announcement_counts_if_the_entry_of_the_server_comes_back_around_it() {
+    let delay = Duration::from_millis(200);
+    for is_back_before_response in [true, false] {
+        let first = Backend::start([Action::RawAfter(LEAVING, delay)]).await;
+        let second = Backend::start([]).await;
+        let daemon = Daemon::with_backends(&[&first, &second]).await;
+        let mut caller = daemon.connect().await;
+        caller.send(&get("/read/x", "r1")).await;
+        let is_sent = || !first.received_requests().is_empty();
+        assert_eventually(RESPONSE_TIMEOUT, "an attempt", is_sent).await;
+        daemon.remove_entry("s0", 2);
+        if is_back_before_response {
+            daemon.apply_entry("s0", &first, "a", 3);
+        }
+        assert_eq!(caller.response().await.expect("a response").status, 200);
+        daemon.apply_entry("s0", &first, "a", 4);
+        let received = requests_to(&first, &daemon, 5).await;
+        assert_eq!(received, 0, "{is_back_before_response}");
+    }
+}
+
 #[tokio::test]
 async fn the_announcement_is_passed_on_to_the_caller() {
     let backend = Backend::start([Action::Raw(LEAVING)]).await;
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -45,6 +45,8 @@
     Misdirected,
     /// Sends these bytes, with `{id}` replaced by the request id.
     Raw(&'static str),
+    /// Like `Raw`, after a delay.
+    RawAfter(&'static str, Duration),
     /// Like `Raw`, then closes the connection.
     RawThenClose(&'static str),
     /// Like `Raw`, then resets the connection.
@@ -217,6 +219,10 @@
             Action::RespondAfterRepeatedRefusal => (signed_response(head, 200, "done"), true),
             Action::Misdirected => (misdirected(head), true),
             Action::Raw(text) => (with_id(text, head), true),
+            Action::RawAfter(text, delay) => {
+                tokio::time::sleep(delay).await;
+                (with_id(text, head), true)
+            }
             Action::RawThenClose(text) => (text.replace("{id}", &id), false),
             Action::RawThenReset(text) => {
                 let sent = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
