Soak: change the entries of servers while they repeat rejections

All servers rejected and repeated requests at once, but their entries stayed as they were, so no request came back to a server under another key. Now entries leave the store and come back meanwhile, and servers are listed under the id of a predecessor as well, for which they answer 421.

--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -72,6 +72,8 @@
     pub identity: Arc<Mutex<Identity>>,
     /// Response mode, and the share of the requests that it applies to.
     pub response_mode: Arc<Mutex<(ResponseMode, f64)>>,
+    /// Held by the fault that changes the entry of the server.
+    pub entry_lock: Arc<tokio::sync::Mutex<()>>,
     domain: String,
     history: Arc<History>,
 }
@@ -89,6 +91,7 @@
             proxy: Proxy::for_server(address).await,
             identity: Arc::new(Mutex::new(identity)),
             response_mode: Arc::new(Mutex::new((ResponseMode::Normal, 0.0))),
+            entry_lock: Arc::default(),
             domain: domain.to_owned(),
             history: history.clone(),
         };
@@ -108,6 +111,11 @@
     /// Writes the server's entry, with the given state, into the store.
     pub fn register(&self, store: &Store, state: &str) {
         let identity = self.identity.lock().clone();
+        self.register_as(&identity, store, state);
+    }
+
+    /// Same under another identity, as of a predecessor at the address whose entry is still listed.
+    pub fn register_as(&self, identity: &Identity, store: &Store, state: &str) {
         let spec = json!({
             "address": self.address().to_string(), "born": identity.started_unix_ms,
             "info": {"service": identity.service, "version": "v1", "zone": self.domain,
--- a/crates/corianderworks/tests/soak/history.rs
+++ b/crates/corianderworks/tests/soak/history.rs
@@ -90,6 +90,10 @@
         drain_starts.insert(id.to_owned(), Instant::now()).is_none()
     }
 
+    pub fn is_draining(&self, id: &str) -> bool {
+        self.drain_starts.lock().contains_key(id)
+    }
+
     /// Records that a server says from now on that it is leaving; returns false if it already does.
     pub fn begin_leaving(&self, id: &str) -> bool {
         let mut leaving_starts = self.leaving_starts.lock();
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -23,7 +23,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use backend::{Backend, ResponseMode, configuration, nested};
+use backend::{Backend, Identity, ResponseMode, configuration, nested};
 use callers::Caller;
 use fleet::{DOMAINS, Vm};
 use history::History;
@@ -314,7 +314,11 @@
             2 => {
                 // A request is sent to the same server again only if all of them reject it.
                 let mode = ResponseMode::RepeatRejection;
-                self.respond_for(&self.backends, mode, time).await;
+                let seed = random.random();
+                tokio::join!(
+                    self.respond_for(&self.backends, mode, time),
+                    self.change_entries(time, Pcg64::seed_from_u64(seed)),
+                );
             }
             3 => {
                 let mode = ResponseMode::MergeRejection;
@@ -350,6 +354,36 @@
         self.replace_identity(backend, &old, random).await;
     }
 
+    /// Lets entries of running servers leave the store and come back, and lists servers under the id
+    /// of a predecessor as well, again and again.
+    async fn change_entries(&self, time: Duration, mut random: Pcg64) {
+        self.log_event(format!("entries of servers change for {time:?}"));
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let backend = self.backends.choose(&mut random).expect("servers");
+            let away = Duration::from_millis(random.random_range(0..60));
+            let _lock = backend.entry_lock.lock().await;
+            let identity = backend.identity.lock().clone();
+            if self.history.is_draining(&identity.id) {
+                continue;
+            }
+            if random.random_bool(0.5) {
+                self.store.remove("servers", &identity.id);
+                sleep(away).await;
+                backend.register(&self.store, "ready");
+            } else {
+                let predecessor = Identity {
+                    id: format!("{}-before", identity.id),
+                    started_unix_ms: identity.started_unix_ms - 1,
+                    ..identity
+                };
+                backend.register_as(&predecessor, &self.store, "ready");
+                sleep(away * 5).await;
+                self.store.remove("servers", &predecessor.id);
+            }
+        }
+    }
+
     async fn write_odd_entry(&self, time: Duration) {
         self.log_event("odd entry in the store".to_owned());
         self.store.put("servers", "odd", nested(), Value::Null);
@@ -360,26 +394,24 @@
     /// Drains a server, then reuses its address for a new server of a random service.
     async fn replace_server(&self, backend: &Backend, random: &mut Pcg64) {
         let old = backend.identity.lock().clone();
+        let lock = backend.entry_lock.lock().await;
         if !self.history.begin_drain(&old.id) {
             return;
         }
         backend.register(&self.store, "draining");
+        drop(lock);
         self.log_event(format!("drain {}", old.id));
         sleep(Duration::from_millis(2_500)).await;
         self.replace_identity(backend, &old, random).await;
     }
 
     /// Removes the entry of a server, and starts a new one of a random service at its address.
-    async fn replace_identity(
-        &self,
-        backend: &Backend,
-        old: &backend::Identity,
-        random: &mut Pcg64,
-    ) {
+    async fn replace_identity(&self, backend: &Backend, old: &Identity, random: &mut Pcg64) {
+        let _lock = backend.entry_lock.lock().await;
         self.store.remove("servers", &old.id);
         sleep(Duration::from_millis(500)).await;
         let service = SERVICES.choose(random).expect("services");
-        *backend.identity.lock() = backend::Identity {
+        *backend.identity.lock() = Identity {
             id: format!("{service}-{}", random.random::<u32>()),
             service: (*service).to_owned(),
             started_unix_ms: old.started_unix_ms + 1,
