Reject responses whose status is not a status of HTTP

Cause: the parser takes any three digits for a status, and nothing checked the number. A status other than a success or a failure counted as served.

Change: a status outside 100 to 599 makes the response malformed, as other bytes that are none do. An idempotent request is tried elsewhere, all others end with 502.

The new test failed before: the caller got status 0, expected 502.

--- a/crates/corianderworks_edge/src/http1.rs
+++ b/crates/corianderworks_edge/src/http1.rs
@@ -5,6 +5,8 @@
 //! of backend servers from unexpected bytes. Both sides therefore use `httparse`, hyper's parser,
 //! with the framing implemented here.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Number of headers of a message that are parsed without an allocation.
@@ -15,6 +17,8 @@
 const HEADER_LINE_MIN_BYTES: usize = 3;
 /// Maximum size of the head of a response, in bytes; that of a request is configured.
 pub const RESPONSE_HEAD_MAX_BYTES: usize = 64 * 1024;
+/// Valid status codes, RFC 9110 section 15.
+const STATUS_RANGE: RangeInclusive<u16> = 100..=599;
 /// Maximum length of a chunk-size line that arrives in several reads, with extensions, in bytes.
 const CHUNK_SIZE_LINE_MAX_BYTES: usize = 1024;
 /// Maximum total length of the chunk extensions of a body, in bytes.
@@ -239,6 +243,9 @@
         Err(_) => return Err(MessageError::Malformed),
     };
     buffer.advance(length);
+    if !STATUS_RANGE.contains(&status) {
+        return Err(MessageError::Malformed);
+    }
     // The server sent the start of a head, then a complete one. Neither belongs to the other.
     let mut values = headers.0.iter().map(|h| &h.value[..]);
     if contains_status_line(reason.as_bytes()) || values.any(contains_status_line) {
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -272,6 +272,32 @@
     assert_eq!((response.status, &*response.body), (200, "whole body"));
 }
 
+/// A status that the protocol doesn't have is no response, also if the rest is well-formed.
+#[tokio::test]
+async fn a_response_with_an_invalid_status_is_not_delivered() {
+    for status in ["000", "099", "600", "999"] {
+        let text = format!(
+            "HTTP/1.1 {status} Odd\r\nRequest-Id: {{id}}\r\nResponse-Signature: s\r\n\
+             Content-Length: 3\r\n\r\nodd"
+        );
+        let odd = Action::Raw(text.leak());
+        let first = Backend::start([odd.clone(), odd]).await;
+        let second = Backend::start([]).await;
+        let daemon = Daemon::with_backends(&[&first, &second]).await;
+        let response = daemon.fetch(&post("/write/x", "w1", "fee")).await;
+        assert_eq!(
+            (response.status, second.received_requests().len()),
+            (502, 0)
+        );
+        let response = daemon.fetch(&get("/read/x", "r1")).await;
+        assert_eq!(
+            (response.status, &*response.body),
+            (200, "done"),
+            "{status}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn pipelined_requests_run_concurrently_and_are_answered_in_order() {
     let pause = Duration::from_millis(400);
