Treat a response that ends with its connection as incomplete after a failed write

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a reset once. If the write of the request gets it first, later reads return what had arrived and then the end, as if the server had closed the connection.

Change: a connection remembers that a write failed. A body that ends with such a connection is incomplete. Bodies with a length or chunks have an end of their own and are delivered as before.

--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -181,6 +181,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     reused: bool,
+    /// Whether a write failed. The kernel reports the error of a reset once, so reads may end as if
+    /// the server had closed the connection.
+    write_failed: bool,
     /// Requests that the server refused or failed on this connection. They may be sent again, and a
     /// faulty server may repeat its response, whose id would then match.
     unserved: Vec<RequestTag>,
@@ -364,6 +367,7 @@
             stream,
             buffer: BytesMut::new(),
             reused: false,
+            write_failed: false,
             unserved: Vec::new(),
             _descriptor: descriptor,
         })
@@ -529,7 +533,7 @@
     let buffer = &mut connection.buffer;
     let mut interim = 0;
     let mut any_received = false;
-    let mut write_failed = false;
+    let write_failed = &mut connection.write_failed;
     loop {
         let parsed = take_response_head(buffer, &outgoing.head.method)
             .map_err(|_| SendError::ResponseError(ResponseError::Malformed))?;
@@ -549,7 +553,7 @@
                     reused || observations.skipped_responses > 0,
                 ) =>
             {
-                let request_complete = !request.has_remaining() && !write_failed;
+                let request_complete = !request.has_remaining() && !*write_failed;
                 return Ok(ReceivedHead {
                     head,
                     request_complete,
@@ -583,7 +587,7 @@
                 if let Err(error) = written {
                     tracing::debug!(%error, "upstream: request not written completely");
                     request = Bytes::new().chain(Bytes::new());
-                    write_failed = true;
+                    *write_failed = true;
                 }
             }
         }
@@ -655,7 +659,7 @@
             Decoded::NeedMore => {
                 connection.buffer.reserve(READ_BUFFER_BYTES);
                 if connection.stream.read_buf(&mut connection.buffer).await? == 0 {
-                    return match decoder.ends_at_close() {
+                    return match decoder.ends_at_close() && !connection.write_failed {
                         true => Ok(None),
                         false => Err(ResponseError::UnexpectedEof),
                     };
--- a/crates/corianderworks_edge/tests/forwarding.rs
+++ b/crates/corianderworks_edge/tests/forwarding.rs
@@ -272,6 +272,21 @@
     assert_eq!((response.status, &*response.body), (200, "whole body"));
 }
 
+/// The error of the reset may be reported to the write of the request, and the read then ends as if
+/// the server had closed the connection.
+#[tokio::test]
+async fn a_response_without_a_length_is_incomplete_if_its_connection_is_reset_during_an_upload() {
+    const PART: &str = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n\r\npart";
+    let body = "x".repeat(8 * 1024 * 1024);
+    let fault = Action::RawThenResetEarly(PART);
+    let backend = Backend::start(vec![fault; 40]).await;
+    let daemon = Daemon::with_backends(&[&backend]).await;
+    for i in 0..40 {
+        let request = post("/write/x", &format!("w{i}"), &body);
+        assert_eq!(daemon.fetch(&request).await.status, 502, "request {i}");
+    }
+}
+
 /// A status that the protocol doesn't have is no response, also if the rest is well-formed.
 #[tokio::test]
 async fn a_response_with_an_invalid_status_is_not_delivered() {
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -51,6 +51,8 @@
     RawThenClose(&'static str),
     /// Like `Raw`, then resets the connection.
     RawThenReset(&'static str),
+    /// Like `RawThenReset`, but at once, before the body of the request is read.
+    RawThenResetEarly(&'static str),
     /// Closes the connection without a response.
     Close,
     /// Never responds, and waits until the daemon closes the connection.
@@ -176,6 +178,16 @@
                     return;
                 }
             }
+            if let Action::RawThenResetEarly(text) = action {
+                if stream
+                    .write_all(with_id(text, &head).as_bytes())
+                    .await
+                    .is_ok()
+                {
+                    reset_on_close(&stream);
+                }
+                return;
+            }
             let Some(body) = read_body(&mut stream, &mut buffer, length).await else {
                 return;
             };
@@ -211,6 +223,7 @@
         let id = header(head, "request-id").unwrap_or_default();
         let (bytes, keep_open) = match action {
             Action::RespondEarly => return true,
+            Action::RawThenResetEarly(_) => return false,
             Action::Respond(status, body, pause) => {
                 tokio::time::sleep(pause).await;
                 (signed_response(head, status, body), true)
@@ -228,10 +241,7 @@
                 let sent = stream.write_all(text.replace("{id}", &id).as_bytes()).await;
                 assert!(sent.is_ok(), "bytes before a reset are sent");
                 tokio::time::sleep(Duration::from_millis(50)).await;
-                let zero = Some(Duration::ZERO);
-                socket2::SockRef::from(&*stream)
-                    .set_linger(zero)
-                    .expect("a socket option");
+                reset_on_close(stream);
                 return false;
             }
             Action::Close => return false,
@@ -252,6 +262,12 @@
     }
 }
 
+fn reset_on_close(stream: &TcpStream) {
+    socket2::SockRef::from(stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("a socket option");
+}
+
 /// Replaces `{id}` in a text by the id of a request.
 fn with_id(text: &str, head: &str) -> String {
     text.replace("{id}", &header(head, "request-id").unwrap_or_default())
