Soak: seed in which a request ran twice at a server with two entries

ledger-4-before(...) not-run:421 (reused port 34744) ledger-4(...) not-run:421 (reused port 34744) ledger-2(...)

ledger-4 ran it at the second attempt, on the connection of the first, and ledger-2 ran it again. On the fixed code seeds 2001 to 2003 pass.

--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -45,7 +45,10 @@
 /// 3, 4: the start of a rejection merged with the next response, and the request ran twice. Such a
 /// response is now malformed. 5: the same, and requests of a caller that pipelines were cut off by
 /// the exit of a stopping daemon, which now closes the connection before.
-const REGRESSION_SEEDS: [u64; 5] = [102, 124, 3, 4, 5];
+///
+/// 2001: a server was listed under two ids and repeated a rejection on a connection that the request
+/// used again, so the request ran twice. A connection now carries a request once.
+const REGRESSION_SEEDS: [u64; 6] = [102, 124, 3, 4, 5, 2001];
 /// Seeds that run without `SOAK_SEEDS`, as in CI, together with [`REGRESSION_SEEDS`].
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 /// Duration of the faults without `SOAK_S`, in seconds.
