Read the local port of a connection once; a refused success counts as refused

The port was read from the socket for each attempt, which costs a system call. A response with a success status that says that the request did not run may lead to a retry, so its connection must not carry the request again either.

--- a/crates/corianderworks_edge/src/upstream.rs
+++ b/crates/corianderworks_edge/src/upstream.rs
@@ -179,6 +179,7 @@
 #[derive(Debug)]
 struct Connection {
     stream: TcpStream,
+    local_port: u16,
     buffer: BytesMut,
     reused: bool,
     /// Whether a write failed. The kernel reports the error of a reset once, so reads may end as if
@@ -191,12 +192,11 @@
 }
 
 impl Connection {
-    fn connection_use(&self) -> Option<ConnectionUse> {
-        let local = self.stream.local_addr().ok()?;
-        Some(ConnectionUse {
-            local_port: local.port(),
+    fn connection_use(&self) -> ConnectionUse {
+        ConnectionUse {
+            local_port: self.local_port,
             is_reused: self.reused,
-        })
+        }
     }
 }
 
@@ -282,7 +282,7 @@
                     return ExchangeResult::Unknown(response_error);
                 }
                 Ok(received) => {
-                    if !is_success(&received.head) {
+                    if !is_served(&received.head) {
                         connection.unserved.extend(outgoing.tag());
                     }
                     return self
@@ -364,6 +364,7 @@
         stream.set_nodelay(true)?;
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         Ok(Connection {
+            local_port: stream.local_addr()?.port(),
             stream,
             buffer: BytesMut::new(),
             reused: false,
@@ -528,7 +529,7 @@
         .write_buf(&mut request)
         .await
         .map_err(SendError::NothingSent)?;
-    observations.connection = connection.connection_use();
+    observations.connection = Some(connection.connection_use());
     let (mut reader, mut writer) = connection.stream.split();
     let buffer = &mut connection.buffer;
     let mut interim = 0;
@@ -594,8 +595,9 @@
     }
 }
 
-fn is_success(head: &ResponseHead) -> bool {
-    (200..300).contains(&head.status)
+/// Whether the request of a response is not sent again.
+fn is_served(head: &ResponseHead) -> bool {
+    (200..300).contains(&head.status) && head.headers.get(headers::NOT_RUN).is_none()
 }
 
 /// Whether a response says that the expected server is shutting down. A misdirected request was
