Test of the stop: give the route of a large response more time than 1 s

The test waits 500 ms and then has what is left of the route's timeout of 1 s to receive 24 MB. The test means the count of requests in flight and a complete response, not the timeout.

The product is not changed.

--- a/crates/corianderworks_edge/tests/stopping.rs
+++ b/crates/corianderworks_edge/tests/stopping.rs
@@ -5,11 +5,15 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream as BlockingStream;
+use std::sync::Arc;
 use std::time::Duration;
 
 use corianderworks_decision::edge::shutdown::Phase;
 use corianderworks_edge::state::Lifecycle;
-use support::{Action, Backend, Daemon, RESPONSE_TIMEOUT, assert_eventually, get, header, post};
+use support::{
+    Action, Backend, Daemon, RESPONSE_TIMEOUT, assert_eventually, configuration_with_timeout, get,
+    header, post,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -95,6 +99,10 @@
     let text = [head, "x".repeat(BODY_BYTES)].concat().leak();
     let backend = Backend::start([Action::Raw(text)]).await;
     let daemon = Daemon::with_backends(&[&backend]).await;
+    let patient = configuration_with_timeout(2, RESPONSE_TIMEOUT);
+    daemon
+        .edge
+        .install_configuration(Arc::new(patient), None, "test");
     let mut caller = daemon.connect().await;
     caller.send(&get("/read/x", "r1")).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
