--- a/review/stand-ins-3/kit.rs
+++ b/review/stand-ins-3/kit.rs
@@ -562,7 +562,9 @@
             "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: s.{request_id}\r\nKeep-Alive: timeout=10\r\nContent-Length: {body}\r\n\r\n"
         )
         .into_bytes();
-        answer.extend(std::iter::repeat_n(b'x', body));
+        if request.method() != "HEAD" {
+            answer.extend(std::iter::repeat_n(b'x', body));
+        }
         if stream.write_all(&answer).is_err() {
             return;
         }
