--- a/review/stand-ins-3/storm.rs
+++ b/review/stand-ins-3/storm.rs
@@ -12,10 +12,11 @@
 use kit::*;
 
 const HOST: &str = "gateway.example";
-/// Size that the brief designs for.
-const ROUTES: usize = 4_100;
-const CHANGES: u64 = 12;
-const GAP: Duration = Duration::from_millis(330);
+/// Routes that the configuration grew by.
+const ROUTES: usize = 1_400;
+/// One each [`GAP`] for 1.5 s, and one that moves a route.
+const CHANGES: u64 = 26;
+const GAP: Duration = Duration::from_millis(60);
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 
 fn config(version: u64, moved: bool) -> String {
