--- a/review/stand-ins-3/slow_reader.rs
+++ b/review/stand-ins-3/slow_reader.rs
@@ -20,6 +20,8 @@
 const SMALL_BODY: usize = 1_500;
 /// Longest time in which a caller takes no byte; `idleTimeoutMs` is 15,000.
 const PAUSE: Duration = Duration::from_millis(12_000);
+/// Time from the requests to the planned stop of the machine.
+const STOP_AFTER: Duration = Duration::from_millis(5_000);
 
 fn main() {
     exit(run());
@@ -61,13 +63,16 @@
         return 2;
     }
     std::thread::sleep(Duration::from_secs(5));
-    let pause = if has_trouble() { PAUSE } else { Duration::from_millis(500) };
+    let pause = if has_trouble() { PAUSE } else { PAUSE / 2 };
     let callers: Vec<_> = (0..CALLERS)
         .map(|n| {
-            let (address, record) = (vms[n % vms.len()].front(), record.clone());
+            let (address, record) = (vms[0].front(), record.clone());
             std::thread::spawn(move || download(n, address, pause, &record))
         })
         .collect();
+    std::thread::sleep(STOP_AFTER);
+    vms[0].signal("TERM");
+    record.line(&format!("SIGTERM to {}", vms[0].name));
     let lost = callers.into_iter().map(|c| c.join().unwrap_or(true)).filter(|l| *l).count();
     for vm in &mut vms {
         vm.kill();
