--- a/review/stand-ins-3/kit.rs
+++ b/review/stand-ins-3/kit.rs
@@ -293,12 +293,47 @@
     state: Arc<(Mutex<StoreState>, Condvar)>,
     history: Duration,
     pub calls: Arc<AtomicUsize>,
+    /// Value of the header `Store-Era`.
+    era: Arc<AtomicU64>,
+}
+
+/// Copy of a store, from which it can come back.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
 }
 
 impl Store {
+    /// Copies what the store holds now.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Replaces what the store holds by a copy. Its revisions are given out again, and a watch from one
+    /// that it doesn't have gets 410.
+    pub fn come_back_from(&self, copy: Copy) {
+        let mut state = self.state.0.lock().unwrap();
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.events.clear();
+        state.forgotten = copy.revision;
+        self.era.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().unwrap().revision
+    }
+
+    /// Returns the revision of an object, if there is one.
+    pub fn revision_of(&self, kind: &str, name: &str) -> Option<u64> {
+        let state = self.state.0.lock().unwrap();
+        state.objects.get(&(kind.to_owned(), name.to_owned())).map(|o| o.revision)
+    }
+
     pub fn new(history: Duration) -> Self {
         let state = StoreState { revision: 100, forgotten: 0, ..StoreState::default() };
-        Self { state: Arc::new((Mutex::new(state), Condvar::new())), history, calls: Arc::default() }
+        Self { state: Arc::new((Mutex::new(state), Condvar::new())), history, calls: Arc::default(), era: Arc::new(AtomicU64::new(1)) }
     }
 
     /// Opens an address for one machine. `bytes_per_s` is the rate of its link; 0 is no limit.
@@ -339,7 +374,8 @@
             }
             std::thread::sleep(Duration::from_millis(4));
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {}\r\nContent-Length: {}\r\n\r\n",
+                self.era.load(Ordering::SeqCst),
                 body.len()
             );
             if !link.send(&mut stream, head.as_bytes()) || !link.send(&mut stream, body.as_bytes()) {
@@ -430,7 +466,7 @@
         let mut state = lock.lock().unwrap();
         loop {
             state.forget(self.history);
-            if after < state.forgotten {
+            if after < state.forgotten || after > state.revision {
                 return (410, "null".to_owned());
             }
             if link.mode.load(Ordering::Relaxed) == BUSY {
