--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -385,7 +385,8 @@
             .store_call(self.object_kind.as_str(), "failed");
         if self.reachable {
             self.reachable = false;
-            tracing::warn!(kind = self.object_kind.as_str(), %error, "store: lost");
+            let (kind, revision) = (self.object_kind.as_str(), self.revision);
+            tracing::warn!(kind, revision, %error, "store: lost");
         }
         self.edge.lock_state().servers.store_call_failed();
         sleep(self.retry_delay).await;
