List again when the changes of a watch are longer than a list

What callers saw: after a series of quick changes of a large configuration, three of six daemons behind links of 10 Mbit/s went on with an older version for 21 s.

Cause: a watch returns each change since a revision with the whole object. The response to a watch that follows a long response contains all changes made meanwhile, so its length grows by the number of objects that change while one arrives. Once it didn't fit into the time of a call, the daemon repeated the same watch from the same revision, with a still longer response, until the store had dropped the history. Read for a proof of keys, a failure reset the revision; the ordinary watch did not.

Evidence: with the log of the commit before, the watchers report 2.19 MB of 4.93 MB received after 2 s, then 410 for that revision, 21 s after the series.

Change: a watch accepts at most the length of the last list and a quarter, or 64 KiB more. A longer response is abandoned as soon as its length is known, and the kind is listed, which transfers each object once, whatever happened since. That holds for configurations and servers, for watchers and for daemons that read a proof; the rule of its own for proofs is gone.

Why it works: what a daemon reads is now bounded by the size of the state, not by the number of changes, at any speed of the link. After the last change one list may be on its way and one more follows.

The set-up of daemons moves from fleet.rs to tests/support, unchanged.

--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -11,7 +11,9 @@
 use bytes::Bytes;
 use corianderworks_decision::edge::key_permission::{ConfigurationId, Proof};
 use corianderworks_decision::edge::servers::ServerEntry;
-use corianderworks_platform::store::{ObjectEvent, StoreClient, StoreError, StoredObject};
+use corianderworks_platform::store::{
+    Changes, Listing, ObjectEvent, StoreClient, StoreError, StoredObject,
+};
 use corianderworks_platform::{configuration, servers};
 use rand::Rng;
 use tokio::time::{Instant, sleep};
@@ -27,8 +29,7 @@
 /// Maximum age of the reported view, as a share of the same time. If it is older, the daemon reads
 /// the store itself. One watch timeout plus the delay of a report.
 const VIEW_MAX_AGE_SHARE: f64 = 0.8;
-/// Delay before the next watch after a change, as a share of the same time, so that one response
-/// returns several changes.
+/// Delay before the next watch after a change, as a share of the same time.
 const BATCH_DELAY_SHARE: f64 = 0.075;
 /// Shortest and longest time for which the own view may differ from the reported one before the
 /// store is read. The daemons of a domain choose different times, and the first one that reads the
@@ -46,6 +47,10 @@
 /// Longest time that a watch waits whose response is only needed as a proof. A store may take 0 for
 /// a missing value.
 const PROOF_WATCH_TIMEOUT: Duration = Duration::from_millis(50);
+/// Part by which the response to a watch may exceed a list, as a share of the list and in bytes.
+/// Beyond that a list arrives sooner, because it contains each object once.
+const WATCH_EXCESS_SHARE: usize = 4;
+const WATCH_EXCESS_BYTES_MIN: usize = 64 * 1024;
 /// First and longest delay before the retry of a failed call. It doubles with each failure.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
@@ -66,6 +71,32 @@
     }
 }
 
+/// Point in the history of the store from which a watch continues.
+#[derive(Debug, Clone, Copy)]
+struct WatchStart {
+    revision: u64,
+    /// Longest response that is read.
+    response_bytes_max: usize,
+}
+
+impl WatchStart {
+    fn after_list(listing: &Listing) -> Self {
+        let listed = listing.response_bytes;
+        let excess = (listed / WATCH_EXCESS_SHARE).max(WATCH_EXCESS_BYTES_MIN);
+        Self {
+            revision: listing.revision,
+            response_bytes_max: listed + excess,
+        }
+    }
+
+    fn after_changes(self, changes: &Changes) -> Self {
+        Self {
+            revision: changes.revision,
+            ..self
+        }
+    }
+}
+
 /// Where a daemon gets changes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
@@ -88,13 +119,13 @@
     object_kind: ObjectKind,
     reachable: bool,
     retry_delay: Duration,
-    /// Revision to watch from; `None` if changes since the last call may have been missed and the
-    /// objects have to be listed again.
-    revision: Option<u64>,
+    /// Where the next watch continues; `None` if changes since the last call may have been missed
+    /// and the objects have to be listed again.
+    watch_start: Option<WatchStart>,
     /// When the store is read because the own view differs from the reported one; `None` if it
     /// doesn't.
     mismatch_read_at: Option<Instant>,
-    /// Configuration that the store holds as of `revision`; `None` if it has none that can be decoded,
+    /// Configuration that the store holds as of `watch_start`; `None` if it has none that can be decoded,
     /// or if it isn't known.
     stored_configuration: Option<ConfigurationId>,
     /// Stored configuration that was logged because another one is in force.
@@ -117,7 +148,7 @@
             object_kind,
             reachable: false,
             retry_delay: RETRY_DELAY_MIN,
-            revision: None,
+            watch_start: None,
             mismatch_read_at: None,
             stored_configuration: None,
             logged_mismatch: None,
@@ -128,13 +159,9 @@
     async fn run(mut self) {
         self.wait_for_initial_state().await;
         loop {
-            match (self.source(), self.revision) {
-                (Source::Store, Some(revision)) => {
-                    let timeout = self.watch_timeout();
-                    self.watch(revision, timeout).await;
-                }
-                (Source::Store, None) => self.list().await,
-                (Source::Peers, _) => self.compare_views().await,
+            match self.source() {
+                Source::Store => self.read(self.watch_timeout()).await,
+                Source::Peers => self.compare_views().await,
             }
         }
     }
@@ -199,11 +226,11 @@
         // Changes sent by peers don't update the revision, so a later watch can't continue from it.
         // For the configuration it can: versions that peers have sent before change nothing.
         if self.object_kind == ObjectKind::Servers {
-            self.revision = None;
+            self.watch_start = None;
         }
         sleep(COMPARE_INTERVAL).await;
         if self.is_key_check_due() {
-            return self.read_for_proof().await;
+            return self.read(PROOF_WATCH_TIMEOUT).await;
         }
         if !self.has_mismatch() {
             self.mismatch_read_at = None;
@@ -229,17 +256,14 @@
         is_configuration && key_check::take_store_read(&self.edge)
     }
 
-    /// Reads changes of the configuration since the last read. A list would transfer all of it each
-    /// time, several megabytes in a large deployment.
-    async fn read_for_proof(&mut self) {
-        match self.revision {
-            Some(revision) => self.watch(revision, PROOF_WATCH_TIMEOUT).await,
+    /// Reads the changes since the last read, for which it waits up to `timeout`, or all objects if
+    /// that isn't possible. A list transfers all of them each time, several megabytes in a large
+    /// deployment.
+    async fn read(&mut self, timeout: Duration) {
+        match self.watch_start {
+            Some(start) => self.watch(start, timeout).await,
             None => self.list().await,
         }
-        if !self.reachable {
-            // Changes that are too long for one response would fail again.
-            self.revision = None;
-        }
     }
 
     /// Records that the stored configuration was the latest one when a call was sent. That proves
@@ -289,7 +313,7 @@
                 self.log_unnamed(listing.unnamed);
                 let update = self.apply_list(&listing.objects, listing.revision);
                 self.send_if_watcher(&update);
-                self.revision = Some(listing.revision);
+                self.watch_start = Some(WatchStart::after_list(&listing));
                 self.record_proof(called_at);
                 self.report_store_view();
             }
@@ -306,16 +330,16 @@
         max.map_or(timeout, |max| timeout.min(max))
     }
 
-    async fn watch(&mut self, revision: u64, timeout: Duration) {
+    async fn watch(&mut self, start: WatchStart, timeout: Duration) {
         let called_at = self.edge.clock.since_boot();
-        match self
+        let (kind, revision) = (self.object_kind.as_str(), start.revision);
+        let watch = self
             .store
-            .watch(self.object_kind.as_str(), revision, timeout)
-            .await
-        {
+            .watch(kind, revision, timeout, start.response_bytes_max);
+        match watch.await {
             Ok(changes) => {
                 self.handle_success();
-                self.revision = Some(changes.revision);
+                self.watch_start = Some(start.after_changes(&changes));
                 let has_changes = !changes.events.is_empty();
                 self.log_unnamed(changes.unnamed);
                 let update = self.apply_events(changes.events);
@@ -323,26 +347,44 @@
                 if changes.unnamed > 0 && self.object_kind == ObjectKind::Configuration {
                     // The object without a name may be the configuration.
                     self.stored_configuration = None;
-                    self.revision = None;
+                    self.watch_start = None;
                 }
                 self.record_proof(called_at);
                 self.report_store_view();
                 if has_changes {
-                    sleep(self.share_of_apply_timeout(BATCH_DELAY_SHARE)).await;
+                    self.wait_for_batch().await;
                 }
             }
+            Err(StoreError::TooLong(bytes)) => {
+                self.edge.metrics.store_call(kind, "too_long");
+                tracing::info!(
+                    kind,
+                    revision,
+                    bytes,
+                    "store: changes are longer than a list, listing again"
+                );
+                self.watch_start = None;
+                self.list().await;
+                self.wait_for_batch().await;
+            }
             Err(StoreError::HistoryGone) => {
                 tracing::info!(
-                    kind = self.object_kind.as_str(),
+                    kind,
                     revision,
                     "store: history no longer available, listing again"
                 );
-                self.revision = None;
+                self.watch_start = None;
+                self.list().await;
             }
             Err(error) => self.handle_failure(&error).await,
         }
     }
 
+    /// Waits before the next watch, so that one response returns several changes.
+    async fn wait_for_batch(&self) {
+        sleep(self.share_of_apply_timeout(BATCH_DELAY_SHARE)).await;
+    }
+
     /// Adds what was read to the next report if this daemon watches the store for others. The other
     /// kind of object is left out, since calls for it may fail.
     fn report_store_view(&self) {
@@ -385,7 +427,8 @@
             .store_call(self.object_kind.as_str(), "failed");
         if self.reachable {
             self.reachable = false;
-            let (kind, revision) = (self.object_kind.as_str(), self.revision);
+            let kind = self.object_kind.as_str();
+            let revision = self.watch_start.map(|start| start.revision);
             tracing::warn!(kind, revision, %error, "store: lost");
         }
         self.edge.lock_state().servers.store_call_failed();
--- a/crates/corianderworks_edge/tests/fleet.rs
+++ b/crates/corianderworks_edge/tests/fleet.rs
@@ -3,76 +3,28 @@
 
 mod support;
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use corianderworks_decision::clock::SystemClock;
 use corianderworks_decision::edge::fleet::Member;
 use corianderworks_decision::edge::load_balancer::{Candidates, Evidence};
 use corianderworks_decision::edge::routes::Idempotency;
-use corianderworks_edge::metrics::Metrics;
-use corianderworks_edge::peers::Peers;
+use corianderworks_edge::registration;
 use corianderworks_edge::state::Edge;
-use corianderworks_edge::{peer_sync, registration, store_sync};
 use corianderworks_platform::daemons;
 use corianderworks_platform::store::StoreClient;
 use serde_json::{Value, json};
+use support::assert_eventually;
+use support::fleet::{accepting_servers, configuration_version, start_daemon, up_count};
 use support::store::{ResponseMode, Store, configuration_spec, entry_spec, entry_status};
-use support::{assert_eventually, settings};
 
 /// The platform allows 2 s for drains and configurations to take effect.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
 
-/// Starts the background tasks of a daemon, but no listener for callers. `host` is the last byte
-/// of its loopback address.
-async fn start_daemon(port: u16, host: u8, domain: &str, store: SocketAddr) -> Arc<Edge> {
-    let address: IpAddr = IpAddr::from([127, 0, 0, host]);
-    let mut settings = settings();
-    settings.vm = format!("vm-{host}");
-    settings.address = address;
-    settings.domain = domain.to_owned();
-    settings.callers = SocketAddr::new(address, 80);
-    settings.peer_port = port;
-    settings.seeds = vec![IpAddr::from([127, 0, 0, 2])];
-    settings.store = store;
-    let metrics = Metrics::new().expect("metrics");
-    let edge = Arc::new(Edge::new(settings, Arc::new(SystemClock::new()), metrics));
-    let (peers, incoming) = Peers::bind(SocketAddr::new(address, port)).expect("a peer socket");
-    let client = Arc::new(StoreClient::new(store));
-    tokio::spawn(registration::register(
-        edge.clone(),
-        client.clone(),
-        peers.clone(),
-    ));
-    tokio::spawn(store_sync::run(edge.clone(), client, peers.clone()));
-    tokio::spawn(peer_sync::run(edge.clone(), peers, incoming));
-    let ticking_edge = edge.clone();
-    tokio::spawn(async move {
-        loop {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            ticking_edge.tick();
-        }
-    });
-    edge
-}
-
-fn configuration_version(edge: &Edge) -> u64 {
-    edge.configuration().map_or(0, |c| c.version.0)
-}
-
-fn accepting_servers(edge: &Edge) -> usize {
-    let now = edge.clock.now();
-    edge.lock_state()
-        .servers
-        .of_service("ledger")
-        .filter(|(_, s)| s.accepts_requests(now))
-        .count()
-}
-
 async fn start_store(servers: &[&str]) -> Store {
     let store = Store::start().await;
     store.put("config", "main", configuration_spec(3), Value::Null);
@@ -104,7 +56,6 @@
         all(&|e| configuration_version(e) == 3 && accepting_servers(e) == 2)
     })
     .await;
-    let up_count = |e: &Edge| e.lock_state().fleet.up_count(e.clock.now());
     assert_eventually(Duration::from_secs(4), "membership", || {
         all(&|e| up_count(e) == 6)
     })
@@ -150,7 +101,6 @@
         fleet.push(start_daemon(port, host, &domain.to_string(), store.address).await);
     }
     let all = |condition: &dyn Fn(&Edge) -> bool| fleet.iter().all(|e| condition(e));
-    let up_count = |e: &Edge| e.lock_state().fleet.up_count(e.clock.now());
     assert_eventually(Duration::from_secs(6), "membership", || {
         all(&|e| up_count(e) == fleet.len() && accepting_servers(e) == 2)
     })
@@ -301,7 +251,6 @@
             fleet.push((edge, access));
         }
         let fleet = Self { store, fleet };
-        let up_count = |e: &Edge| e.lock_state().fleet.up_count(e.clock.now());
         assert_eventually(Duration::from_secs(6), "membership", || {
             let is_complete = |e: &Edge| up_count(e) == 4 && accepting_servers(e) == servers.len();
             fleet.fleet.iter().all(|(e, _)| is_complete(e))
@@ -433,7 +382,6 @@
     })
     .await;
     let second = start_daemon(edge.settings.peer_port, 3, "a", store.address).await;
-    let up_count = |e: &Edge| e.lock_state().fleet.up_count(e.clock.now());
     assert_eventually(Duration::from_secs(4), "membership", || {
         up_count(&second) == 2 && up_count(&edge) == 2
     })
@@ -448,7 +396,6 @@
     for (host, domain) in [(2, "a"), (3, "a"), (4, "b"), (5, "b")] {
         fleet.push(start_daemon(port, host, domain, store.address).await);
     }
-    let up_count = |e: &Edge| e.lock_state().fleet.up_count(e.clock.now());
     assert_eventually(Duration::from_secs(5), "membership", || {
         fleet.iter().all(|e| up_count(e) == 4)
     })
--- a/crates/corianderworks_edge/tests/support/mod.rs
+++ b/crates/corianderworks_edge/tests/support/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod fleet;
 pub mod log;
+pub mod slow_link;
 pub mod store;
 
 use std::collections::VecDeque;
