Send only the latest of the configurations that wait for a peer

Daemons that don't watch the store get the last configuration of a series late, and the link of the daemon that sends it is full meanwhile.

Cause: a watcher sent each configuration to each peer on a stream of its own, as soon as it was known. The streams share the connection, so the last one was complete only when all earlier ones were, which nobody needs any more.

Change: each connection has one task that sends configurations. It waits until the peer has received one, and goes on with the latest at that time. One that is on its way is not cut off, so a series without end delays none for good. Entries of servers are sent as before, and so is the state that a starting daemon asks for, with its configuration behind what is already on its way.

Test: superseded_configurations_do_not_delay_the_last_one_between_daemons sends 26 configurations of 270 KB, one each 60 ms, to a peer behind a link of 10 Mbit/s. It failed before (the last one had not arrived 2 s after it was sent) and passes. The tests of key revocation and of the fleet pass as before.

--- a/crates/corianderworks_edge/src/peer_sync.rs
+++ b/crates/corianderworks_edge/src/peer_sync.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::key_check::{self, KeyChecks};
-use crate::peers::{Incoming, Message, Peers, StoreUpdate, store_messages};
+use crate::peers::{Incoming, Message, Peers, StoreUpdate};
 use crate::report_datagrams::{encode, split};
 use crate::reports::ReportResult;
 use crate::state::Edge;
@@ -313,7 +313,7 @@
         let is_relay = self.edge.lock_state().fleet.relay_position(now).is_some();
         if !has_state && is_relay {
             let update = self.edge.full_store_update();
-            self.peers.send(from, store_messages(&update));
+            self.peers.send_store_update(from, &update);
         }
     }
 
@@ -407,13 +407,12 @@
     }
 
     fn send_store_update(&self, from: SocketAddr, update: StoreUpdate) {
-        let messages = store_messages(&update);
         let is_relay = self.topology.relay_position.is_some();
-        if messages.is_empty() || !is_relay || !self.topology.other_domains.contains(&from) {
+        if update.is_empty() || !is_relay || !self.topology.other_domains.contains(&from) {
             return;
         }
         for address in &self.topology.domain_peers {
-            self.peers.send(*address, messages.clone());
+            self.peers.send_store_update(*address, &update);
         }
     }
 
--- a/crates/corianderworks_edge/src/peers.rs
+++ b/crates/corianderworks_edge/src/peers.rs
@@ -16,13 +16,13 @@
 use corianderworks_wire::codec::{self, CodecError, PREFIX_BYTES};
 use parking_lot::Mutex;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{Connection, Endpoint, TransportConfig, VarInt};
+use quinn::{Connection, Endpoint, SendStream, TransportConfig, VarInt};
 use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
 use rustls::crypto::CryptoProvider;
 use rustls::{DigitallySignedStruct, SignatureScheme};
 use rustls_pki_types::{CertificateDer, PrivatePkcs8KeyDer, ServerName, UnixTime};
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::state::EntryRemoval;
 
@@ -75,6 +75,21 @@
     pub configuration: Option<Bytes>,
 }
 
+impl StoreUpdate {
+    /// Whether there is nothing to send.
+    pub fn is_empty(&self) -> bool {
+        let Self {
+            entries,
+            removed,
+            leaving,
+            view,
+            configuration,
+        } = self;
+        let has_objects = !entries.is_empty() || !removed.is_empty() || !leaving.is_empty();
+        !has_objects && view.is_none() && configuration.is_none()
+    }
+}
+
 /// Message between daemons.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
@@ -146,7 +161,11 @@
 #[derive(Debug)]
 enum PeerConnection {
     Connecting,
-    Open(Connection),
+    Open {
+        connection: Connection,
+        /// Configuration to be sent next. The task that sends them ends when this is dropped.
+        configuration: watch::Sender<Bytes>,
+    },
 }
 
 impl Peers {
@@ -175,7 +194,7 @@
     /// Whether a connection to `to` is open or being established.
     pub fn has_connection(&self, to: SocketAddr) -> bool {
         match self.connections.lock().get(&to) {
-            Some(PeerConnection::Open(connection)) => connection.close_reason().is_none(),
+            Some(PeerConnection::Open { connection, .. }) => connection.close_reason().is_none(),
             Some(PeerConnection::Connecting) => true,
             None => false,
         }
@@ -217,9 +236,15 @@
     }
 
     fn add_connection(self: &Arc<Self>, to: SocketAddr, connection: Connection) {
-        self.connections
-            .lock()
-            .insert(to, PeerConnection::Open(connection.clone()));
+        let (configuration, configurations) = watch::channel(Bytes::new());
+        self.connections.lock().insert(
+            to,
+            PeerConnection::Open {
+                connection: connection.clone(),
+                configuration,
+            },
+        );
+        tokio::spawn(send_configurations(to, connection.clone(), configurations));
         tokio::spawn(read_datagrams(self.clone(), to, connection.clone()));
         tokio::spawn(read_streams(self.clone(), to, connection));
         self.deliver(Incoming::Connected(to));
@@ -234,13 +259,31 @@
 
     fn connection(&self, to: SocketAddr) -> Option<Connection> {
         match self.connections.lock().get(&to) {
-            Some(PeerConnection::Open(connection)) if connection.close_reason().is_none() => {
+            Some(PeerConnection::Open { connection, .. })
+                if connection.close_reason().is_none() =>
+            {
                 Some(connection.clone())
             }
             _ => None,
         }
     }
 
+    /// Sends changes of the store in the background. A configuration waits until the peer has
+    /// received the one before, and is not sent if a later one follows meanwhile. Does nothing
+    /// without an open connection.
+    pub fn send_store_update(&self, to: SocketAddr, update: &StoreUpdate) {
+        let messages = store_messages(update);
+        if !messages.is_empty() {
+            self.send(to, messages);
+        }
+        let Some(bytes) = &update.configuration else {
+            return;
+        };
+        if let Some(PeerConnection::Open { configuration, .. }) = self.connections.lock().get(&to) {
+            configuration.send_replace(bytes.clone());
+        }
+    }
+
     /// Sends an encoded message in a datagram. Does nothing without an open connection.
     pub fn send_datagram(&self, to: SocketAddr, bytes: Bytes) {
         if let Some(connection) = self.connection(to)
@@ -264,8 +307,8 @@
     }
 }
 
-/// Splits changes of the store into messages of limited length.
-pub fn store_messages(update: &StoreUpdate) -> Vec<Message> {
+/// Splits changes of the store into messages of limited length, without the configuration.
+fn store_messages(update: &StoreUpdate) -> Vec<Message> {
     let mut messages = Vec::new();
     for entries in update.entries.chunks(ENTRIES_PER_MESSAGE) {
         messages.push(Message::Store(StoreUpdate {
@@ -291,7 +334,12 @@
             ..StoreUpdate::default()
         }));
     }
-    let mut rest = update.configuration.clone().unwrap_or_default();
+    messages
+}
+
+/// Splits a configuration into messages of limited length.
+fn configuration_parts(mut rest: Bytes) -> Vec<Message> {
+    let mut messages = Vec::new();
     while !rest.is_empty() {
         let bytes = rest.split_to(rest.len().min(CONFIGURATION_PART_BYTES));
         let last = rest.is_empty();
@@ -300,7 +348,37 @@
     messages
 }
 
-async fn write_stream(connection: &Connection, messages: &[Message]) -> Result<(), PeerError> {
+/// Sends the latest configuration each time that the peer has received the one before, until the
+/// connection ends.
+async fn send_configurations(
+    to: SocketAddr,
+    connection: Connection,
+    mut configurations: watch::Receiver<Bytes>,
+) {
+    while configurations.changed().await.is_ok() {
+        let configuration = configurations.borrow_and_update().clone();
+        let messages = configuration_parts(configuration);
+        if let Err(error) = deliver_stream(&connection, &messages).await {
+            tracing::debug!(%to, %error, "peers: configuration not sent");
+            return;
+        }
+    }
+}
+
+/// Writes messages to a new stream and waits until the peer has received them.
+async fn deliver_stream(connection: &Connection, messages: &[Message]) -> Result<(), PeerError> {
+    let stream = write_stream(connection, messages).await?;
+    let stopped = stream.stopped().await;
+    stopped
+        .map(drop)
+        .map_err(|e| PeerError::Connection(e.to_string()))
+}
+
+/// Writes messages to a new stream, which is sent on after this returns.
+async fn write_stream(
+    connection: &Connection,
+    messages: &[Message],
+) -> Result<SendStream, PeerError> {
     let connection_error = |e: &dyn std::fmt::Display| PeerError::Connection(e.to_string());
     let mut stream = connection
         .open_uni()
@@ -313,7 +391,8 @@
             .await
             .map_err(|e| connection_error(&e))?;
     }
-    stream.finish().map_err(|e| connection_error(&e))
+    stream.finish().map_err(|e| connection_error(&e))?;
+    Ok(stream)
 }
 
 async fn accept_connections(peers: Arc<Peers>) {
--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::key_check;
-use crate::peers::{Peers, StoreUpdate, store_messages};
+use crate::peers::{Peers, StoreUpdate};
 use crate::state::{Edge, EntryRemoval};
 
 /// Longest time that a watch waits for changes, as a share of the time within which changes have to
@@ -480,12 +480,11 @@
     /// Sends what was read to the own domain and to the other relays if this daemon watches the
     /// store for others.
     fn send_if_watcher(&self, update: &StoreUpdate) {
-        let messages = store_messages(update);
-        if messages.is_empty() || !self.is_watcher() {
+        if update.is_empty() || !self.is_watcher() {
             return;
         }
         for address in self.edge.store_update_recipients() {
-            self.peers.send(address, messages.clone());
+            self.peers.send_store_update(address, update);
         }
     }
 
--- a/crates/corianderworks_edge/tests/key_revocation.rs
+++ b/crates/corianderworks_edge/tests/key_revocation.rs
@@ -15,7 +15,7 @@
 use corianderworks_decision::edge::organisations::{Organisation, Organisations};
 use corianderworks_decision::edge::routes::{ConfigVersion, Configuration};
 use corianderworks_edge::metrics::Metrics;
-use corianderworks_edge::peers::{Incoming, Message, Peers, StoreUpdate, store_messages};
+use corianderworks_edge::peers::{Incoming, Message, Peers, StoreUpdate};
 use corianderworks_edge::state::Edge;
 use corianderworks_edge::{caller, peer_sync, registration, store_sync};
 use corianderworks_platform::store::StoreClient;
@@ -548,7 +548,7 @@
             configuration: Some(Bytes::from(spec.to_string())),
             ..StoreUpdate::default()
         };
-        self.peers.send(self.daemon, store_messages(&update));
+        self.peers.send_store_update(self.daemon, &update);
     }
 
     /// Receives for some time, and keeps up with the daemon's view of its members. Returns the
--- a/crates/corianderworks_edge/tests/slow_links.rs
+++ b/crates/corianderworks_edge/tests/slow_links.rs
@@ -1,20 +1,23 @@
-//! Daemons whose links to the store are slow for what the store has to send.
+//! Daemons whose links are slow for what the store, or a daemon that watches it, has to send.
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
+use corianderworks_edge::peers::{Incoming, Peers, StoreUpdate};
 use corianderworks_edge::state::Edge;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use support::assert_eventually;
 use support::fleet::{accepting_servers, configuration_version, start_daemon, up_count};
-use support::slow_link::SlowLink;
+use support::slow_link::{start_datagram_link, start_link};
 use support::store::{ResponseMode, Store, configuration_spec, entry_spec, entry_status};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// The platform allows 2 s for drains and configurations to take effect.
 const APPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -83,8 +86,8 @@
     let port = next_port();
     let mut fleet = Vec::new();
     for (host, domain) in (2..).zip(["a", "a", "b", "b", "c", "c"]) {
-        let link = SlowLink::start(store.address, series.link_mbit_per_s).await;
-        fleet.push(start_daemon(port, host, domain, link.address).await);
+        let address = start_link(store.address, series.link_mbit_per_s).await;
+        fleet.push(start_daemon(port, host, domain, address).await);
     }
     assert_eventually(START_TIMEOUT, "first state", || {
         let has_started = |e: &Edge| configuration_version(e) == 1 && up_count(e) == fleet.len();
@@ -159,8 +162,8 @@
     let write_servers = |state: &str| (0..SERVERS).for_each(|n| write_server(n, state));
     write_servers("ready");
     store.put("config", "main", series.configuration(1), Value::Null);
-    let link = SlowLink::start(store.address, series.link_mbit_per_s).await;
-    let edge = start_daemon(next_port(), 2, "a", link.address).await;
+    let address = start_link(store.address, series.link_mbit_per_s).await;
+    let edge = start_daemon(next_port(), 2, "a", address).await;
     assert_eventually(START_TIMEOUT, "first state", || {
         configuration_version(&edge) == 1 && accepting_servers(&edge) == SERVERS
     })
@@ -180,3 +183,39 @@
     })
     .await;
 }
+
+/// Guards against daemons that get the last configuration of a series late from a daemon that
+/// watches the store: all earlier ones were sent to them as well, over the same link.
+#[tokio::test(flavor = "multi_thread")]
+async fn superseded_configurations_do_not_delay_the_last_one_between_daemons() {
+    const CONFIGURATION_BYTES: usize = 270_000;
+    const CHANGES: u8 = 26;
+    let port = next_port();
+    let address = |host: u8| SocketAddr::from(([127, 0, 0, host], port));
+    let (sender, mut sender_events) = Peers::bind(address(2)).expect("a peer socket");
+    let (_receiver, mut received) = Peers::bind(address(3)).expect("a peer socket");
+    let to = start_datagram_link(address(3), 10).await;
+    sender.start_connecting(to);
+    let connected = sender_events.recv().await.expect("an event");
+    assert!(matches!(connected, Incoming::Connected(_)), "{connected:?}");
+    for change in 1..=CHANGES {
+        let update = StoreUpdate {
+            configuration: Some(Bytes::from(vec![change; CONFIGURATION_BYTES])),
+            ..StoreUpdate::default()
+        };
+        sender.send_store_update(to, &update);
+        sleep(Duration::from_millis(60)).await;
+    }
+    let deadline = Instant::now() + APPLY_TIMEOUT;
+    loop {
+        let event = timeout_at(deadline, received.recv()).await;
+        let event = event.expect("the last configuration in time");
+        match event.expect("an event") {
+            Incoming::Configuration(_, bytes) if bytes[0] == CHANGES => {
+                assert_eq!(bytes.len(), CONFIGURATION_BYTES);
+                return;
+            }
+            _ => {}
+        }
+    }
+}
