Soak: series of changes of a large configuration behind slow links

Each VM reads from the store over a link of 10 Mbit/s, the lowest rate that the platform has. Once in a run a configuration with many unused routes changes in quick succession, beside the other faults. Requests sent after the recovery have to be run by the service to which the last configuration routes them.

--- a/crates/corianderworks/tests/soak/backend.rs
+++ b/crates/corianderworks/tests/soak/backend.rs
@@ -334,8 +334,9 @@
     }
 }
 
-/// Returns a configuration that routes each path prefix to one service.
-pub fn configuration(version: u64, routes: &[(String, String)]) -> Value {
+/// Returns a configuration that routes each path prefix to one service, with further routes that
+/// nobody uses.
+pub fn configuration(version: u64, routes: &[(String, String)], unused_routes: usize) -> Value {
     let path = |(prefix, service): &(String, String)| {
         let kind = match prefix.starts_with("/write") {
             true => "non_idempotent",
@@ -345,6 +346,9 @@
                "timeoutMs": 2_000, "targetLatencyMs": 500, "priority": 1, "maxAttempts": 3,
                "service": service})
     };
+    let unused = (0..unused_routes).map(|n| (format!("/unused/{n}/"), "ledger".to_owned()));
+    let routes = routes.iter().cloned().chain(unused);
+    let paths: Vec<_> = routes.map(|route| path(&route)).collect();
     let services = ["ledger", "archive"]
         .map(|name| json!({"name": name, "healthCheckPath": "/health", "maxConnections": 360}));
     // Every other configuration has an unknown field that decoders can't read.
@@ -357,7 +361,7 @@
         "version": format!("r{version}"), "services": services, "note": note,
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 1_000_000,
                    "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "hosts": [{"host": "shop.example", "paths": routes.iter().map(path).collect::<Vec<_>>()}],
+        "hosts": [{"host": "shop.example", "paths": paths}],
     })
 }
 
--- a/crates/corianderworks/tests/soak/history.rs
+++ b/crates/corianderworks/tests/soak/history.rs
@@ -72,6 +72,10 @@
     pub pauses: Mutex<Vec<(String, String, Instant)>>,
     /// Services to which any configuration of the run routes a path prefix.
     pub allowed_services: Mutex<HashMap<String, HashSet<String>>>,
+    /// Service to which the last configuration routes each path prefix.
+    pub routed_services: Mutex<HashMap<String, String>>,
+    /// Time from which on that configuration has to be in force everywhere; `None` before.
+    pub configured_at: Mutex<Option<Instant>>,
     /// VM and time of daemon faults, which may explain a lost response.
     pub daemon_faults: Mutex<Vec<(usize, Instant)>>,
     /// Start and end of faults, which may delay the effect of a drain.
@@ -199,7 +203,9 @@
                 "REFUSED {id}: refused although executed: {request_executions:?}"
             ));
         }
+        let is_configured = self.configured_at.lock().is_some_and(|at| request.at > at);
         let allowed_services = self.allowed_services.lock();
+        let routed_services = self.routed_services.lock();
         let drain_starts = self.drain_starts.lock();
         for execution in request_executions {
             if execution.path != request.path || execution.body != request.body {
@@ -214,6 +220,12 @@
                     "ROUTE {id}: no configuration routes this path to the service: {execution:?}"
                 ));
             }
+            let routed = routed_services.get(&format!("{prefix}/"));
+            if is_configured && routed != Some(&execution.service) {
+                self.record_violation(format!(
+                    "CONFIG {id}: the last configuration routes to {routed:?}: {execution:?}"
+                ));
+            }
             let since = drain_starts.get(&execution.server);
             let late = since.is_some_and(|at| execution.at > *at + DRAIN_MAX + DRAIN_SLACK);
             if late
--- a/crates/corianderworks/tests/soak/main.rs
+++ b/crates/corianderworks/tests/soak/main.rs
@@ -15,6 +15,9 @@
 mod fleet;
 mod history;
 mod proxy;
+#[allow(dead_code, reason = "the soak uses one of the links")]
+#[path = "../../../corianderworks_edge/tests/support/slow_link.rs"]
+mod slow_link;
 #[path = "../../../corianderworks_edge/tests/support/store.rs"]
 #[allow(dead_code, reason = "shared with the tests of the edge daemon")]
 mod store;
@@ -32,6 +35,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde_json::Value;
+use slow_link::start_link;
 use store::Store;
 use tokio::sync::{Mutex, watch};
 use tokio::task::JoinSet;
@@ -54,6 +58,8 @@
 /// Duration of the faults without `SOAK_S`, in seconds.
 const DEFAULT_FAULTS_S: u64 = 8;
 const VMS: usize = 9;
+/// Rate of the link from the store to each VM, the lowest that the platform has.
+const LINK_MBIT_PER_S: u32 = 10;
 const CALLERS: usize = 24;
 /// One of this many callers pipelines its requests.
 const PIPELINING_CALLER_INTERVAL: usize = 8;
@@ -101,7 +107,8 @@
         }
         let mut fleet = Vec::new();
         for number in 0..vms {
-            let vm = Vm::new(number, network, store.address, directory).await;
+            let link = start_link(store.address, LINK_MBIT_PER_S).await;
+            let vm = Vm::new(number, network, link, directory).await;
             fleet.push(Mutex::new(vm));
         }
         Self {
@@ -120,8 +127,9 @@
         self.event_log.lock().push(format!("{at_ms} ms {text}"));
     }
 
-    /// Stores a configuration that routes each prefix to a randomly chosen service.
-    async fn configure(&self, random: &mut Pcg64) {
+    /// Stores a configuration that routes each prefix to a randomly chosen service, with further
+    /// routes that nobody uses.
+    async fn configure(&self, unused_routes: usize, random: &mut Pcg64) {
         let mut version = self.version.lock().await;
         *version += random.random_range(1..5);
         let routes: Vec<_> = PREFIXES
@@ -136,11 +144,22 @@
             let services = allowed_services.entry(prefix.clone()).or_default();
             services.insert(service.clone());
         }
-        let next = configuration(*version, &routes);
+        let next = configuration(*version, &routes, unused_routes);
         self.store.put("config", "main", next, Value::Null);
+        *self.history.routed_services.lock() = routes.into_iter().collect();
         self.log_event(format!("configuration {version}"));
     }
 
+    /// Changes a large configuration several times while one of its versions passes a link.
+    async fn configure_in_series(&self, random: &mut Pcg64) {
+        let unused_routes = random.random_range(200..=1_400);
+        let gap = Duration::from_millis(random.random_range(20..150));
+        for _ in 0..random.random_range(5..30) {
+            self.configure(unused_routes, random).await;
+            sleep(gap).await;
+        }
+    }
+
     fn record_daemon_fault(&self, vm: usize) {
         self.history.daemon_faults.lock().push((vm, Instant::now()));
     }
@@ -166,7 +185,7 @@
             6 => self.disrupt_backend(backend, time, random).await,
             7..=10 => self.inject_response_faults(time, random).await,
             11 => self.replace_server(backend, random).await,
-            _ => self.configure(random).await,
+            _ => self.configure(0, random).await,
         }
         self.history
             .fault_periods
@@ -439,7 +458,7 @@
     let network = (seed % 250) as u8;
     let mut random = Pcg64::seed_from_u64(seed);
     let harness = Harness::new(vms, network, &directory).await;
-    harness.configure(&mut random).await;
+    harness.configure(0, &mut random).await;
     for vm in harness.vms.iter() {
         vm.lock().await.start(true);
     }
@@ -489,6 +508,12 @@
         sleep(fault_duration.mul_f64(random.random_range(0.1..0.9))).await;
         silencing.silence_connections(&mut random).await;
     });
+    let mut random = Pcg64::seed_from_u64(seed * 97);
+    let configuring = harness.clone();
+    fault_tasks.spawn(async move {
+        sleep(fault_duration.mul_f64(random.random_range(0.1..1.0))).await;
+        configuring.configure_in_series(&mut random).await;
+    });
     let mut random = Pcg64::seed_from_u64(seed * 89);
     let responding = harness.clone();
     fault_tasks.spawn(async move {
@@ -503,6 +528,7 @@
     }
     sleep(RECOVERY_TIME).await;
     let measurement_start = Instant::now();
+    *harness.history.configured_at.lock() = Some(measurement_start);
     sleep(MEASUREMENT_TIME).await;
     stop.send_replace(true);
     while callers.join_next().await.is_some() {}
