--- a/crates/corianderworks_edge/src/store_sync.rs
+++ b/crates/corianderworks_edge/src/store_sync.rs
@@ -47,9 +47,9 @@
 /// Longest time that a watch waits whose response is only needed as a proof. A store may take 0 for
 /// a missing value.
 const PROOF_WATCH_TIMEOUT: Duration = Duration::from_millis(50);
-/// Part by which the response to a watch may exceed a list, as a share of the list and in bytes.
-/// Beyond that a list arrives sooner, because it contains each object once.
-const WATCH_EXCESS_SHARE: usize = 4;
+/// Part by which the response to a watch may exceed a list: this fraction of the list, or this many
+/// bytes if they are more. Beyond that a list arrives sooner, because it contains each object once.
+const WATCH_EXCESS_DIVISOR: usize = 4;
 const WATCH_EXCESS_BYTES_MIN: usize = 64 * 1024;
 /// First and longest delay before the retry of a failed call. It doubles with each failure.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
@@ -82,7 +82,7 @@
 impl WatchStart {
     fn after_list(listing: &Listing) -> Self {
         let listed = listing.response_bytes;
-        let excess = (listed / WATCH_EXCESS_SHARE).max(WATCH_EXCESS_BYTES_MIN);
+        let excess = (listed / WATCH_EXCESS_DIVISOR).max(WATCH_EXCESS_BYTES_MIN);
         Self {
             revision: listing.revision,
             response_bytes_max: listed + excess,
@@ -125,8 +125,8 @@
     /// When the store is read because the own view differs from the reported one; `None` if it
     /// doesn't.
     mismatch_read_at: Option<Instant>,
-    /// Configuration that the store holds as of `watch_start`; `None` if it has none that can be decoded,
-    /// or if it isn't known.
+    /// Configuration that the store holds as of `watch_start`; `None` if it has none that can be
+    /// decoded, or if it isn't known.
     stored_configuration: Option<ConfigurationId>,
     /// Stored configuration that was logged because another one is in force.
     logged_mismatch: Option<ConfigurationId>,
