--- a/crates/corianderworks_edge/tests/slow_links.rs
+++ b/crates/corianderworks_edge/tests/slow_links.rs
@@ -39,7 +39,7 @@
 }
 
 impl Series {
-    /// Draws a series whose configuration passes the link in a fifth of a second.
+    /// Draws a series whose configuration passes the link in 0.22 s at most.
     fn draw(seed: u64) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
         Self {
