--- a/crates/corianderworks/tests/soak/history.rs
+++ b/crates/corianderworks/tests/soak/history.rs
@@ -149,10 +149,15 @@
                     continue;
                 };
                 let bound = told_at + DRAIN_MAX + DRAIN_SLACK;
-                for (_, at) in arrivals.iter().filter(|(r, _)| r.at > bound) {
+                for (request, at) in arrivals.iter().filter(|(r, _)| r.at > bound) {
                     if !self.has_daemon_fault(*vm, told_at, *at) {
-                        let text = format!("DRAIN {server}: request of vm {vm} after it left");
-                        self.record_violation(text);
+                        self.record_violation(format!(
+                            "DRAIN {server}: request of vm {vm} after it left: {}, sent {:?} and \
+                             arrived {:?} after the VM was told",
+                            request.path,
+                            request.at - told_at,
+                            *at - told_at
+                        ));
                     }
                 }
             }
